Move the ports and their own HTTP adapters to packages/ports

Cause: the users' platform needs one small folder that alone knows its names, and the folder 'platform' held the ports of briarhill's own HTTP protocol. Ruled out: keeping both in one package, as the check for names of the platform could then not tell them apart.

--- a/packages/bench/src/capacity/endpoint_list_measure.ts
+++ b/packages/bench/src/capacity/endpoint_list_measure.ts
@@ -6,7 +6,7 @@
 import { ManualClock } from "@briarhill/common/time/manual_clock";
 import { PollingEndpointDirectory } from "@briarhill/node/endpoints/polling_endpoint_directory";
 import type { PeerNetwork } from "@briarhill/node/peers/peer_network";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
 import { setTimeout } from "node:timers/promises";
 import { type Mesh, MeshPeerNetwork } from "../control/mesh_peer_network.ts";
 import { StandInProcess } from "../nodes/stand_in_process.ts";
--- a/packages/bench/src/capacity/load_report_measure.ts
+++ b/packages/bench/src/capacity/load_report_measure.ts
@@ -5,7 +5,7 @@
  */
 import { throwIfUndefined } from "@briarhill/common/errors/throw_if";
 import { EndpointPoller } from "@briarhill/node/endpoints/endpoint_poller";
-import { HttpEngine } from "@briarhill/platform/engine/http_engine";
+import { HttpEngine } from "@briarhill/ports/engine/http_engine";
 import { PrefixIndex } from "@briarhill/routing/picking/prefix_index";
 import { StandInProcess } from "../nodes/stand_in_process.ts";
 import { createLocalContext } from "./local_context.ts";
--- a/packages/bench/src/capacity/text_host_list.ts
+++ b/packages/bench/src/capacity/text_host_list.ts
@@ -5,8 +5,8 @@
 import {
   HostList,
   type ListedEndpoint,
-} from "@briarhill/platform/hosts/host_list";
-import { ENDPOINT_LIST } from "@briarhill/platform/hosts/http_host_list";
+} from "@briarhill/ports/hosts/host_list";
+import { ENDPOINT_LIST } from "@briarhill/ports/hosts/http_host_list";
 
 /** A list of endpoints that is parsed from text at each question. */
 export class TextHostList extends HostList {
--- a/packages/bench/src/control/configuration_cluster.ts
+++ b/packages/bench/src/control/configuration_cluster.ts
@@ -15,7 +15,7 @@
 import { LogContractSource } from "@briarhill/node/configuration/log_contract_source";
 import { LogLeaseKeeper } from "@briarhill/node/leases/log_lease_keeper";
 import type { NodeContext } from "@briarhill/node/node/node_context";
-import type { LogService } from "@briarhill/platform/log/log_service";
+import type { LogService } from "@briarhill/ports/log/log_service";
 import { setImmediate } from "node:timers/promises";
 import { type Mesh, MeshPeerNetwork } from "./mesh_peer_network.ts";
 
--- a/packages/bench/src/control/slopes/slope_changes.ts
+++ b/packages/bench/src/control/slopes/slope_changes.ts
@@ -7,7 +7,7 @@
   encodeConfigurationRecord,
   NO_REVISION,
 } from "@briarhill/control/configuration/configuration_record";
-import type { LogService } from "@briarhill/platform/log/log_service";
+import type { LogService } from "@briarhill/ports/log/log_service";
 
 const WRITER = "bench";
 const SHARE = "0.001";
--- a/packages/bench/src/control/slow_log.ts
+++ b/packages/bench/src/control/slow_log.ts
@@ -9,7 +9,7 @@
   LogService,
   type Offset,
   type StreamName,
-} from "@briarhill/platform/log/log_service";
+} from "@briarhill/ports/log/log_service";
 
 /** A log whose answers to reads arrive late, and so tell what was. */
 export class SlowLog extends LogService {
--- a/packages/bench/src/control/stale_log.ts
+++ b/packages/bench/src/control/stale_log.ts
@@ -8,7 +8,7 @@
   LogService,
   type Offset,
   type StreamName,
-} from "@briarhill/platform/log/log_service";
+} from "@briarhill/ports/log/log_service";
 
 /** A log whose first page of one stream is from before; others are as they are. */
 export class StaleLog extends LogService {
--- a/packages/bench/src/failures/caller_load.ts
+++ b/packages/bench/src/failures/caller_load.ts
@@ -9,7 +9,7 @@
 import {
   type HttpCall,
   HttpClient,
-} from "@briarhill/platform/http/http_client";
+} from "@briarhill/ports/http/http_client";
 import { parseEvents } from "../caller/live_caller.ts";
 import type { Attempt, LiveRecord, ServiceRecord } from "./call_record.ts";
 
--- a/packages/bench/src/failures/label_check.ts
+++ b/packages/bench/src/failures/label_check.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { computeToken, hashStream } from "@briarhill/fakes/engine/fake_text";
-import type { GenerateRequest } from "@briarhill/platform/engine/engine";
+import type { GenerateRequest } from "@briarhill/ports/engine/engine";
 import type { ReceivedSample } from "../trainer/trainer_client.ts";
 
 interface LabelledText {
--- a/packages/bench/src/failures/must_holds.ts
+++ b/packages/bench/src/failures/must_holds.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { computeLength, hashStream } from "@briarhill/fakes/engine/fake_text";
-import type { GenerateRequest } from "@briarhill/platform/engine/engine";
+import type { GenerateRequest } from "@briarhill/ports/engine/engine";
 import type { Execution } from "@briarhill/fakes/service/fake_service";
 import { checkAnswer } from "../caller/answer_check.ts";
 import type { JudgedStep } from "../deployments/trainer_load.ts";
--- a/packages/bench/test/failures/label_check_test.ts
+++ b/packages/bench/test/failures/label_check_test.ts
@@ -1,5 +1,5 @@
 import { computeToken, hashStream } from "@briarhill/fakes/engine/fake_text";
-import type { GenerateRequest } from "@briarhill/platform/engine/engine";
+import type { GenerateRequest } from "@briarhill/ports/engine/engine";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { hasTrueLabels } from "../../src/failures/label_check.ts";
--- a/packages/cli/src/command/operator_command.ts
+++ b/packages/cli/src/command/operator_command.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { SettingsError } from "@briarhill/common/errors/errors";
-import type { LogService } from "@briarhill/platform/log/log_service";
+import type { LogService } from "@briarhill/ports/log/log_service";
 import { Command, Option } from "clipanion";
 import {
   type OperatorSettings,
--- a/packages/cli/src/command/operator_context.ts
+++ b/packages/cli/src/command/operator_context.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Clock } from "@briarhill/common/time/clock";
-import type { LogService } from "@briarhill/platform/log/log_service";
+import type { LogService } from "@briarhill/ports/log/log_service";
 import type { BaseContext } from "clipanion";
 import type { NodeClient } from "../operator/node_client.ts";
 
--- a/packages/cli/src/commands/contract_history_command.ts
+++ b/packages/cli/src/commands/contract_history_command.ts
@@ -7,7 +7,7 @@
   decodeConfigurationRecord,
   getSubject,
 } from "@briarhill/control/configuration/configuration_record";
-import type { LogRecord } from "@briarhill/platform/log/log_service";
+import type { LogRecord } from "@briarhill/ports/log/log_service";
 import { Command, Option } from "clipanion";
 import { EXIT_CODE_HELP, ExitCode } from "../command/exit_code.ts";
 import {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { SystemClock } from "@briarhill/common/time/system_clock";
-import { HttpLogService } from "@briarhill/platform/log/http_log_service";
+import { HttpLogService } from "@briarhill/ports/log/http_log_service";
 import process from "node:process";
 import { createCli } from "./create_cli.ts";
 import { HttpNodeClient } from "./operator/http_node_client.ts";
--- a/packages/cli/src/operator/configuration_publisher.ts
+++ b/packages/cli/src/operator/configuration_publisher.ts
@@ -16,7 +16,7 @@
   type PublicationEvent,
   type PublicationOutcome,
 } from "@briarhill/control/configuration/publication_machine";
-import type { LogService } from "@briarhill/platform/log/log_service";
+import type { LogService } from "@briarhill/ports/log/log_service";
 import { randomUUID } from "node:crypto";
 import { initialTransition, type SnapshotFrom, transition } from "xstate";
 import type { ConfigurationReader } from "./configuration_reader.ts";
--- a/packages/cli/src/operator/configuration_reader.ts
+++ b/packages/cli/src/operator/configuration_reader.ts
@@ -21,7 +21,7 @@
 import type {
   LogRecord,
   LogService,
-} from "@briarhill/platform/log/log_service";
+} from "@briarhill/ports/log/log_service";
 
 /** Reads the configuration log up to its end and on. */
 export class ConfigurationReader {
--- a/packages/fakes/src/engine/fake_engine.ts
+++ b/packages/fakes/src/engine/fake_engine.ts
@@ -4,7 +4,7 @@
  */
 import type { RequestId } from "@briarhill/common/ids/ids";
 import type { Clock } from "@briarhill/common/time/clock";
-import { ChunkSequence } from "@briarhill/platform/engine/chunk_sequence";
+import { ChunkSequence } from "@briarhill/ports/engine/chunk_sequence";
 import {
   type CacheEvent,
   Engine,
@@ -13,7 +13,7 @@
   type GenerateChunk,
   type GenerateRequest,
   type LoadReport,
-} from "@briarhill/platform/engine/engine";
+} from "@briarhill/ports/engine/engine";
 import { type Fault, isAnswerFault } from "../faults/fault.ts";
 import { FaultPlan } from "../faults/fault_plan.ts";
 import { createRejection } from "../faults/rejection.ts";
--- a/packages/fakes/src/engine/fake_models.ts
+++ b/packages/fakes/src/engine/fake_models.ts
@@ -9,7 +9,7 @@
   EngineModelState,
   EngineOrder,
   EngineState,
-} from "@briarhill/platform/engine/engine";
+} from "@briarhill/ports/engine/engine";
 import type { FaultPlan } from "../faults/fault_plan.ts";
 import { createRejection } from "../faults/rejection.ts";
 import type { FakeWeightStore } from "../weights/fake_weight_store.ts";
--- a/packages/fakes/src/engine/fake_prefix_cache.ts
+++ b/packages/fakes/src/engine/fake_prefix_cache.ts
@@ -4,7 +4,7 @@
  */
 import { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { Clock } from "@briarhill/common/time/clock";
-import type { CacheEvent } from "@briarhill/platform/engine/engine";
+import type { CacheEvent } from "@briarhill/ports/engine/engine";
 import type { FakeEngineSettings } from "./fake_engine_settings.ts";
 import { hashText } from "./fake_text.ts";
 
--- a/packages/fakes/src/engine/fake_stream.ts
+++ b/packages/fakes/src/engine/fake_stream.ts
@@ -8,7 +8,7 @@
 import type {
   GenerateChunk,
   GenerateRequest,
-} from "@briarhill/platform/engine/engine";
+} from "@briarhill/ports/engine/engine";
 import type { FakeEngineSettings } from "./fake_engine_settings.ts";
 import { computeLength, computeToken, hashStream } from "./fake_text.ts";
 
--- a/packages/fakes/src/engine/fake_streams.ts
+++ b/packages/fakes/src/engine/fake_streams.ts
@@ -4,7 +4,7 @@
  */
 import type { RequestId } from "@briarhill/common/ids/ids";
 import type { Clock, Timer } from "@briarhill/common/time/clock";
-import type { GenerateRequest } from "@briarhill/platform/engine/engine";
+import type { GenerateRequest } from "@briarhill/ports/engine/engine";
 import { createRejection } from "../faults/rejection.ts";
 import type { FakeBatch } from "./fake_batch.ts";
 import type { FakeEngineSettings } from "./fake_engine_settings.ts";
--- a/packages/fakes/src/engine/request_schema.ts
+++ b/packages/fakes/src/engine/request_schema.ts
@@ -5,7 +5,7 @@
 import type {
   EngineOrder,
   GenerateRequest,
-} from "@briarhill/platform/engine/engine";
+} from "@briarhill/ports/engine/engine";
 import { z } from "zod";
 
 const count = z.number().int().min(0);
--- a/packages/fakes/src/engine/stream_fault.ts
+++ b/packages/fakes/src/engine/stream_fault.ts
@@ -2,7 +2,7 @@
  * Faults in the middle of a stream.
  * @module
  */
-import type { GenerateChunk } from "@briarhill/platform/engine/engine";
+import type { GenerateChunk } from "@briarhill/ports/engine/engine";
 import { type Fault, isDisorder } from "../faults/fault.ts";
 import type { FaultPlan } from "../faults/fault_plan.ts";
 
--- a/packages/fakes/src/hosts/fake_host_list.ts
+++ b/packages/fakes/src/hosts/fake_host_list.ts
@@ -7,7 +7,7 @@
 import {
   HostList,
   type ListedEndpoint,
-} from "@briarhill/platform/hosts/host_list";
+} from "@briarhill/ports/hosts/host_list";
 import { FaultPlan } from "../faults/fault_plan.ts";
 import { LaggedValue } from "../time/lagged_value.ts";
 
--- a/packages/fakes/src/log/fake_log.ts
+++ b/packages/fakes/src/log/fake_log.ts
@@ -11,8 +11,8 @@
   LogService,
   type Offset,
   type StreamName,
-} from "@briarhill/platform/log/log_service";
-import { LOG_PAGE } from "@briarhill/platform/log/http_log_service";
+} from "@briarhill/ports/log/log_service";
+import { LOG_PAGE } from "@briarhill/ports/log/http_log_service";
 import type { Fault } from "../faults/fault.ts";
 import { FaultPlan } from "../faults/fault_plan.ts";
 import { createRejection } from "../faults/rejection.ts";
--- a/packages/fakes/src/log/fake_log_stream.ts
+++ b/packages/fakes/src/log/fake_log_stream.ts
@@ -7,7 +7,7 @@
   LogPage,
   LogRecord,
   Offset,
-} from "@briarhill/platform/log/log_service";
+} from "@briarhill/ports/log/log_service";
 
 /** How long records are kept. */
 export interface Retention {
--- a/packages/fakes/src/log/page_fault.ts
+++ b/packages/fakes/src/log/page_fault.ts
@@ -2,7 +2,7 @@
  * Faults in the order of a page's records.
  * @module
  */
-import type { LogPage } from "@briarhill/platform/log/log_service";
+import type { LogPage } from "@briarhill/ports/log/log_service";
 import type { Fault } from "../faults/fault.ts";
 
 /**
--- a/packages/fakes/src/scorer/fake_scorer.ts
+++ b/packages/fakes/src/scorer/fake_scorer.ts
@@ -7,7 +7,7 @@
   type Score,
   Scorer,
   type ScoreRequest,
-} from "@briarhill/platform/scorer/scorer";
+} from "@briarhill/ports/scorer/scorer";
 import { hashText } from "../engine/fake_text.ts";
 import { FaultPlan } from "../faults/fault_plan.ts";
 
--- a/packages/fakes/src/service/fake_service.ts
+++ b/packages/fakes/src/service/fake_service.ts
@@ -8,7 +8,7 @@
   type ServiceLoad,
   type ServiceRequest,
   type ServiceResponse,
-} from "@briarhill/platform/service/service";
+} from "@briarhill/ports/service/service";
 import { FaultPlan } from "../faults/fault_plan.ts";
 
 const DEFAULT_SLOTS = 32;
--- a/packages/fakes/src/standins/stand_ins.ts
+++ b/packages/fakes/src/standins/stand_ins.ts
@@ -5,7 +5,7 @@
 import type { EndpointId } from "@briarhill/common/ids/ids";
 import type { Clock } from "@briarhill/common/time/clock";
 import { SystemClock } from "@briarhill/common/time/system_clock";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
 import { FakeEngine } from "../engine/fake_engine.ts";
 import { FakeEngineServer } from "../engine/fake_engine_server.ts";
 import { FakeHostList } from "../hosts/fake_host_list.ts";
--- a/packages/fakes/src/weights/fake_weight_store.ts
+++ b/packages/fakes/src/weights/fake_weight_store.ts
@@ -7,7 +7,7 @@
 import {
   WeightStore,
   type WeightStoreLimits,
-} from "@briarhill/platform/weights/weight_store";
+} from "@briarhill/ports/weights/weight_store";
 import { FaultPlan } from "../faults/fault_plan.ts";
 import { createRejection } from "../faults/rejection.ts";
 import { RateLimit } from "../time/rate_limit.ts";
--- a/packages/fakes/test/contract_subject.ts
+++ b/packages/fakes/test/contract_subject.ts
@@ -2,7 +2,7 @@
  * Ports under test, in memory and over HTTP.
  * @module
  */
-import type { HttpSettings } from "@briarhill/platform/http/http_settings";
+import type { HttpSettings } from "@briarhill/ports/http/http_settings";
 import type { FaultPlan } from "../src/faults/fault_plan.ts";
 import type { FakeServer } from "../src/http/fake_server.ts";
 
--- a/packages/fakes/test/engine/engine_fixture.ts
+++ b/packages/fakes/test/engine/engine_fixture.ts
@@ -7,8 +7,8 @@
   Engine,
   GenerateChunk,
   GenerateRequest,
-} from "@briarhill/platform/engine/engine";
-import { HttpEngine } from "@briarhill/platform/engine/http_engine";
+} from "@briarhill/ports/engine/engine";
+import { HttpEngine } from "@briarhill/ports/engine/http_engine";
 import { FakeEngine } from "../../src/engine/fake_engine.ts";
 import { FakeEngineServer } from "../../src/engine/fake_engine_server.ts";
 import type { FakeEngineSettings } from "../../src/engine/fake_engine_settings.ts";
--- a/packages/fakes/test/engine/fake_engine_test.ts
+++ b/packages/fakes/test/engine/fake_engine_test.ts
@@ -2,7 +2,7 @@
   Engine,
   EngineState,
   GenerateRequest,
-} from "@briarhill/platform/engine/engine";
+} from "@briarhill/ports/engine/engine";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { FakeEngine } from "../../src/engine/fake_engine.ts";
--- a/packages/fakes/test/hosts/fake_host_list_test.ts
+++ b/packages/fakes/test/hosts/fake_host_list_test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "@briarhill/common/time/manual_clock";
 import { SystemClock } from "@briarhill/common/time/system_clock";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
-import { HttpHostList } from "@briarhill/platform/hosts/http_host_list";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
+import { HttpHostList } from "@briarhill/ports/hosts/http_host_list";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { FakeHostList } from "../../src/hosts/fake_host_list.ts";
--- a/packages/fakes/test/log/fake_log_test.ts
+++ b/packages/fakes/test/log/fake_log_test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "@briarhill/common/time/manual_clock";
 import { SystemClock } from "@briarhill/common/time/system_clock";
-import { HttpLogService } from "@briarhill/platform/log/http_log_service";
-import type { LogService } from "@briarhill/platform/log/log_service";
+import { HttpLogService } from "@briarhill/ports/log/http_log_service";
+import type { LogService } from "@briarhill/ports/log/log_service";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { FakeLog, type FakeLogSettings } from "../../src/log/fake_log.ts";
--- a/packages/fakes/test/relay/tcp_relay_test.ts
+++ b/packages/fakes/test/relay/tcp_relay_test.ts
@@ -1,4 +1,4 @@
-import { HttpClient } from "@briarhill/platform/http/http_client";
+import { HttpClient } from "@briarhill/ports/http/http_client";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
 import { type AddressInfo } from "node:net";
--- a/packages/fakes/test/scorer/fake_scorer_test.ts
+++ b/packages/fakes/test/scorer/fake_scorer_test.ts
@@ -1,5 +1,5 @@
 import { SystemClock } from "@briarhill/common/time/system_clock";
-import { HttpScorer } from "@briarhill/platform/scorer/http_scorer";
+import { HttpScorer } from "@briarhill/ports/scorer/http_scorer";
 import { FakeScorer } from "../../src/scorer/fake_scorer.ts";
 import { FakeScorerServer } from "../../src/scorer/fake_scorer_server.ts";
 import { testPort } from "../contract_table.ts";
--- a/packages/fakes/test/service/fake_service_test.ts
+++ b/packages/fakes/test/service/fake_service_test.ts
@@ -1,6 +1,6 @@
 import { SystemClock } from "@briarhill/common/time/system_clock";
-import { HttpService } from "@briarhill/platform/service/http_service";
-import type { Service } from "@briarhill/platform/service/service";
+import { HttpService } from "@briarhill/ports/service/http_service";
+import type { Service } from "@briarhill/ports/service/service";
 import { FakeService } from "../../src/service/fake_service.ts";
 import { FakeServiceServer } from "../../src/service/fake_service_server.ts";
 import type { ContractCall } from "../contract_subject.ts";
--- a/packages/fakes/test/standins/stand_ins_test.ts
+++ b/packages/fakes/test/standins/stand_ins_test.ts
@@ -1,4 +1,4 @@
-import { HttpHostList } from "@briarhill/platform/hosts/http_host_list";
+import { HttpHostList } from "@briarhill/ports/hosts/http_host_list";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { startStandIns } from "../../src/standins/stand_ins.ts";
--- a/packages/fakes/test/weights/fake_weight_store_test.ts
+++ b/packages/fakes/test/weights/fake_weight_store_test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "@briarhill/common/time/manual_clock";
 import { SystemClock } from "@briarhill/common/time/system_clock";
-import { HttpWeightStore } from "@briarhill/platform/weights/http_weight_store";
-import type { WeightStore } from "@briarhill/platform/weights/weight_store";
+import { HttpWeightStore } from "@briarhill/ports/weights/http_weight_store";
+import type { WeightStore } from "@briarhill/ports/weights/weight_store";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { FakeWeightStore } from "../../src/weights/fake_weight_store.ts";
--- a/packages/node/src/claims/claim_stream.ts
+++ b/packages/node/src/claims/claim_stream.ts
@@ -5,7 +5,7 @@
 import { BriarhillError } from "@briarhill/common/errors/errors";
 import type { Outcome } from "@briarhill/common/ids/ids";
 import type { Timer } from "@briarhill/common/time/clock";
-import type { LogPage } from "@briarhill/platform/log/log_service";
+import type { LogPage } from "@briarhill/ports/log/log_service";
 import {
   type CallId,
   type ClaimStructure,
--- a/packages/node/src/claims/claimed_calls.ts
+++ b/packages/node/src/claims/claimed_calls.ts
@@ -8,7 +8,7 @@
   RepeatedCallError,
 } from "@briarhill/common/errors/errors";
 import type { CustomerId } from "@briarhill/common/ids/ids";
-import type { ServiceResponse } from "@briarhill/platform/service/service";
+import type { ServiceResponse } from "@briarhill/ports/service/service";
 import type {
   CallId,
   ClaimStructure,
--- a/packages/node/src/configuration/snapshot_reader.ts
+++ b/packages/node/src/configuration/snapshot_reader.ts
@@ -10,7 +10,7 @@
 import type {
   LogRecord,
   LogService,
-} from "@briarhill/platform/log/log_service";
+} from "@briarhill/ports/log/log_service";
 
 const READ_WINDOW_RECORDS = 64;
 
--- a/packages/node/src/endpoints/directory_entry.ts
+++ b/packages/node/src/endpoints/directory_entry.ts
@@ -2,9 +2,9 @@
  * One endpoint of the directory and its client.
  * @module
  */
-import type { Engine } from "@briarhill/platform/engine/engine";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
-import type { Service } from "@briarhill/platform/service/service";
+import type { Engine } from "@briarhill/ports/engine/engine";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
+import type { Service } from "@briarhill/ports/service/service";
 import type { EndpointClients } from "./endpoint_clients.ts";
 import type { KnownEndpoint } from "./endpoint_directory.ts";
 import type { EndpointPoller } from "./endpoint_poller.ts";
--- a/packages/node/src/endpoints/endpoint_clients.ts
+++ b/packages/node/src/endpoints/endpoint_clients.ts
@@ -2,10 +2,10 @@
  * Creates the clients of endpoints and scorers.
  * @module
  */
-import type { Engine } from "@briarhill/platform/engine/engine";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
-import type { Scorer } from "@briarhill/platform/scorer/scorer";
-import type { Service } from "@briarhill/platform/service/service";
+import type { Engine } from "@briarhill/ports/engine/engine";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
+import type { Scorer } from "@briarhill/ports/scorer/scorer";
+import type { Service } from "@briarhill/ports/service/service";
 
 /** Creates the clients of endpoints and scorers. */
 export abstract class EndpointClients {
--- a/packages/node/src/endpoints/endpoint_directory.ts
+++ b/packages/node/src/endpoints/endpoint_directory.ts
@@ -7,9 +7,9 @@
   Engine,
   EngineState,
   LoadReport,
-} from "@briarhill/platform/engine/engine";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
-import type { Service } from "@briarhill/platform/service/service";
+} from "@briarhill/ports/engine/engine";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
+import type { Service } from "@briarhill/ports/service/service";
 
 /** One endpoint and the newest that is known of it. */
 export interface KnownEndpoint {
--- a/packages/node/src/endpoints/endpoint_poller.ts
+++ b/packages/node/src/endpoints/endpoint_poller.ts
@@ -7,8 +7,8 @@
   Engine,
   EngineState,
   LoadReport,
-} from "@briarhill/platform/engine/engine";
-import type { Service, ServiceLoad } from "@briarhill/platform/service/service";
+} from "@briarhill/ports/engine/engine";
+import type { Service, ServiceLoad } from "@briarhill/ports/service/service";
 import type { NodeContext } from "../node/node_context.ts";
 
 const STATE_EVERY = 4;
--- a/packages/node/src/endpoints/http_endpoint_clients.ts
+++ b/packages/node/src/endpoints/http_endpoint_clients.ts
@@ -3,14 +3,14 @@
  * @module
  */
 import type { Clock } from "@briarhill/common/time/clock";
-import type { Engine } from "@briarhill/platform/engine/engine";
-import { HttpEngine } from "@briarhill/platform/engine/http_engine";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
-import { ReadPacer } from "@briarhill/platform/http/read_pacer";
-import { HttpScorer } from "@briarhill/platform/scorer/http_scorer";
-import type { Scorer } from "@briarhill/platform/scorer/scorer";
-import { HttpService } from "@briarhill/platform/service/http_service";
-import type { Service } from "@briarhill/platform/service/service";
+import type { Engine } from "@briarhill/ports/engine/engine";
+import { HttpEngine } from "@briarhill/ports/engine/http_engine";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
+import { ReadPacer } from "@briarhill/ports/http/read_pacer";
+import { HttpScorer } from "@briarhill/ports/scorer/http_scorer";
+import type { Scorer } from "@briarhill/ports/scorer/scorer";
+import { HttpService } from "@briarhill/ports/service/http_service";
+import type { Service } from "@briarhill/ports/service/service";
 import { EndpointClients } from "./endpoint_clients.ts";
 
 /** Clients of endpoints and scorers over HTTP. */
--- a/packages/node/src/endpoints/polling_endpoint_directory.ts
+++ b/packages/node/src/endpoints/polling_endpoint_directory.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type { EndpointId } from "@briarhill/common/ids/ids";
-import type { Engine } from "@briarhill/platform/engine/engine";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
-import type { Service } from "@briarhill/platform/service/service";
+import type { Engine } from "@briarhill/ports/engine/engine";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
+import type { Service } from "@briarhill/ports/service/service";
 import { LeavingSet } from "@briarhill/routing/leaving/leaving_set";
 import { PrefixIndex } from "@briarhill/routing/picking/prefix_index";
 import { z } from "zod";
--- a/packages/node/src/endpoints/watched_engines.ts
+++ b/packages/node/src/endpoints/watched_engines.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { EndpointId, HostId } from "@briarhill/common/ids/ids";
-import type { ListedEndpoint } from "@briarhill/platform/hosts/host_list";
+import type { ListedEndpoint } from "@briarhill/ports/hosts/host_list";
 import { listSubset } from "@briarhill/routing/picking/engine_subset";
 import type { PeerNetwork } from "../peers/peer_network.ts";
 
--- a/packages/node/src/generation/dial.ts
+++ b/packages/node/src/generation/dial.ts
@@ -7,7 +7,7 @@
   Engine,
   GenerateChunk,
   GenerateRequest,
-} from "@briarhill/platform/engine/engine";
+} from "@briarhill/ports/engine/engine";
 
 /** One dial of a stream, whose reading can be interrupted. */
 export class Dial {
--- a/packages/node/src/generation/engine_pool.ts
+++ b/packages/node/src/generation/engine_pool.ts
@@ -5,7 +5,7 @@
 import type { EndpointId, RequestClass } from "@briarhill/common/ids/ids";
 import type { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { Clock } from "@briarhill/common/time/clock";
-import type { Engine } from "@briarhill/platform/engine/engine";
+import type { Engine } from "@briarhill/ports/engine/engine";
 import type {
   EngineCandidate,
   PickRequest,
--- a/packages/node/src/generation/generation_run.ts
+++ b/packages/node/src/generation/generation_run.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { EndpointId } from "@briarhill/common/ids/ids";
-import type { GenerateChunk } from "@briarhill/platform/engine/engine";
+import type { GenerateChunk } from "@briarhill/ports/engine/engine";
 import type {
   RequestCommand,
   RequestEvent,
--- a/packages/node/src/generation/generator.ts
+++ b/packages/node/src/generation/generator.ts
@@ -11,7 +11,7 @@
 import type {
   GenerateChunk,
   GenerateRequest,
-} from "@briarhill/platform/engine/engine";
+} from "@briarhill/ports/engine/engine";
 
 /** A generation and the terms on which it runs. */
 export interface GenerationRequest {
--- a/packages/node/src/generation/hedged_dial.ts
+++ b/packages/node/src/generation/hedged_dial.ts
@@ -7,7 +7,7 @@
 import type {
   GenerateChunk,
   GenerateRequest,
-} from "@briarhill/platform/engine/engine";
+} from "@briarhill/ports/engine/engine";
 import { Dial } from "./dial.ts";
 import type { GenerationParts } from "./generation_parts.ts";
 
--- a/packages/node/src/generation/run_values.ts
+++ b/packages/node/src/generation/run_values.ts
@@ -8,7 +8,7 @@
   PortError,
   RefusedError,
 } from "@briarhill/common/errors/errors";
-import type { GenerateRequest } from "@briarhill/platform/engine/engine";
+import type { GenerateRequest } from "@briarhill/ports/engine/engine";
 import type {
   RequestCommand,
   RequestEvent,
--- a/packages/node/src/node/node_context.ts
+++ b/packages/node/src/node/node_context.ts
@@ -6,9 +6,9 @@
 import type { HistogramRegistry } from "@briarhill/common/metrics/histogram_registry";
 import type { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { Clock } from "@briarhill/common/time/clock";
-import type { HostList } from "@briarhill/platform/hosts/host_list";
-import type { LogService } from "@briarhill/platform/log/log_service";
-import type { WeightStore } from "@briarhill/platform/weights/weight_store";
+import type { HostList } from "@briarhill/ports/hosts/host_list";
+import type { LogService } from "@briarhill/ports/log/log_service";
+import type { WeightStore } from "@briarhill/ports/weights/weight_store";
 import type { NodeSettings } from "../settings/node_settings.ts";
 import type { EndpointClients } from "../endpoints/endpoint_clients.ts";
 
--- a/packages/node/src/services/service_answer.ts
+++ b/packages/node/src/services/service_answer.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { DeadlineError } from "@briarhill/common/errors/errors";
-import type { ServiceResponse } from "@briarhill/platform/service/service";
+import type { ServiceResponse } from "@briarhill/ports/service/service";
 import { pipeline } from "node:stream/promises";
 import type { Exchange } from "../http/exchange.ts";
 import { toForwardedHeaders } from "./forwarded_headers.ts";
--- a/packages/node/src/services/service_call.ts
+++ b/packages/node/src/services/service_call.ts
@@ -9,7 +9,7 @@
   RefusedError,
 } from "@briarhill/common/errors/errors";
 import type { EndpointId } from "@briarhill/common/ids/ids";
-import type { ServiceResponse } from "@briarhill/platform/service/service";
+import type { ServiceResponse } from "@briarhill/ports/service/service";
 import type {
   RequestCommand,
   RequestEvent,
--- a/packages/node/src/services/service_pool.ts
+++ b/packages/node/src/services/service_pool.ts
@@ -5,7 +5,7 @@
 import type { EndpointId } from "@briarhill/common/ids/ids";
 import type { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { Clock } from "@briarhill/common/time/clock";
-import type { Service } from "@briarhill/platform/service/service";
+import type { Service } from "@briarhill/ports/service/service";
 import { findLeast } from "@briarhill/routing/picking/engine_picker";
 import { OutlierEjector } from "@briarhill/routing/retries/outlier_ejector";
 import type {
--- a/packages/node/src/trainers/lot_log.ts
+++ b/packages/node/src/trainers/lot_log.ts
@@ -8,7 +8,7 @@
   formatDeliveryRecord,
   parseDeliveryRecord,
 } from "@briarhill/rollout/delivery/delivery_record";
-import type { LogService } from "@briarhill/platform/log/log_service";
+import type { LogService } from "@briarhill/ports/log/log_service";
 import { getLotStream, type LotName } from "./lot_name.ts";
 
 const PAGE_RECORDS = 1000;
--- a/packages/node/src/trainers/lot_name.ts
+++ b/packages/node/src/trainers/lot_name.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { CustomerId, LotId } from "@briarhill/common/ids/ids";
-import type { StreamName } from "@briarhill/platform/log/log_service";
+import type { StreamName } from "@briarhill/ports/log/log_service";
 
 /** Names one lot. */
 export interface LotName {
--- a/packages/node/src/trainers/sample_scoring.ts
+++ b/packages/node/src/trainers/sample_scoring.ts
@@ -2,8 +2,8 @@
  * Scores finished samples.
  * @module
  */
-import { HttpScorer } from "@briarhill/platform/scorer/http_scorer";
-import type { Scorer } from "@briarhill/platform/scorer/scorer";
+import { HttpScorer } from "@briarhill/ports/scorer/http_scorer";
+import type { Scorer } from "@briarhill/ports/scorer/scorer";
 import type { SampleStructure } from "@briarhill/rollout/samples/sample_structure";
 import type { NodeContext } from "../node/node_context.ts";
 
--- a/packages/node/src/trainers/training.ts
+++ b/packages/node/src/trainers/training.ts
@@ -2,7 +2,7 @@
  * All that serves trainers on a host, put together.
  * @module
  */
-import type { Scorer } from "@briarhill/platform/scorer/scorer";
+import type { Scorer } from "@briarhill/ports/scorer/scorer";
 import type { ContractSource } from "../configuration/contract_source.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { Generator } from "../generation/generator.ts";
--- a/packages/node/src/weights/weight_leader.ts
+++ b/packages/node/src/weights/weight_leader.ts
@@ -11,7 +11,7 @@
   WeightRollout,
   type WeightRolloutOptions,
 } from "@briarhill/control/weights/weight_rollout";
-import type { Engine, EngineState } from "@briarhill/platform/engine/engine";
+import type { Engine, EngineState } from "@briarhill/ports/engine/engine";
 import type { ContractSource } from "../configuration/contract_source.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { LeaseKeeper, LeaseName } from "../leases/lease_keeper.ts";
--- a/packages/node/test/claims/claimed_calls_test.ts
+++ b/packages/node/test/claims/claimed_calls_test.ts
@@ -12,7 +12,7 @@
 import { FakeLog } from "@briarhill/fakes/log/fake_log";
 import { ClaimedCalls } from "../../src/claims/claimed_calls.ts";
 import { ClaimKeeper } from "../../src/claims/claim_keeper.ts";
-import type { ServiceResponse } from "@briarhill/platform/service/service";
+import type { ServiceResponse } from "@briarhill/ports/service/service";
 import { advance, createContext, settle } from "../fixtures/call_fixtures.ts";
 import { PeerHub } from "../fixtures/peer_hub.ts";
 
