--- a/packages/common/src/errors/errors.ts
+++ b/packages/common/src/errors/errors.ts
@@ -94,3 +94,15 @@
 /** A repeat of a non-idempotent call whose first run can't be answered for. */
 export const RepeatedCallError = BriarhillError.subclass("RepeatedCallError");
 export type RepeatedCallError = InstanceType<typeof RepeatedCallError>;
+
+/** An append whose condition did not hold, as the partition ends elsewhere; nothing was appended. */
+export const AppendConflictError = PortError.subclass("AppendConflictError", {
+  props: { endOffset: 0 },
+});
+export type AppendConflictError = InstanceType<typeof AppendConflictError>;
+
+/** A read of records that the log has deleted. */
+export const TrimmedLogError = PortError.subclass("TrimmedLogError", {
+  props: { firstOffset: 0 },
+});
+export type TrimmedLogError = InstanceType<typeof TrimmedLogError>;
--- /dev/null
+++ b/packages/common/src/http/http_sender.ts
@@ -0,0 +1,218 @@
+/**
+ * Sends HTTP requests over kept connections, by Node's `http`.
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { PortError, PortFault } from "../errors/errors.ts";
+import { createPortError } from "../errors/port_fault.ts";
+import type { HttpAnswer, HttpHead, HttpRequest } from "./http_exchange.ts";
+
+/** The bounds of a sender. */
+export interface HttpSenderOptions {
+  /** The name of the outside system in errors, such as "store". */
+  readonly port: string;
+  /** The longest wait for a new connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** The most open connections to one address. */
+  readonly maxConnections: number;
+  /** How long an unused connection is kept, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
+
+/** Sends HTTP requests over kept connections. */
+export class HttpSender {
+  readonly #options: HttpSenderOptions;
+  readonly #agent: Agent;
+
+  constructor(options: HttpSenderOptions) {
+    this.#options = options;
+    this.#agent = new Agent({
+      keepAlive: true,
+      maxSockets: options.maxConnections,
+      maxFreeSockets: options.maxConnections,
+      timeout: options.idleTimeoutMs,
+      scheduling: "lifo",
+    });
+  }
+
+  /**
+   * Sends a request and resolves with the head of the answer.
+   * A failure is a {@link PortError} whose outcome is "not-run" only where no
+   * byte of the request can have reached the other side.
+   *
+   * @param exchange - The request.
+   */
+  open(exchange: HttpRequest): Promise<HttpHead> {
+    return new Promise((resolve, reject) => {
+      const { address, method, path, body } = exchange;
+      const outgoing = request({
+        agent: this.#agent,
+        host: address.hostname,
+        port: address.port,
+        method,
+        path,
+        headers: [
+          ...exchange.headers,
+          ...(hasBody(exchange)
+            ? ["Content-Length", String(body?.length ?? 0)]
+            : []),
+        ] as unknown as Record<string, string>,
+        setHost: false,
+      });
+      const failure = this.#watch(outgoing, exchange);
+      outgoing.on("response", (response: IncomingMessage) => {
+        failure.clear();
+        // Without a listener, a reset after the head would end the process.
+        response.on("error", () => undefined);
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          rawHeaders: response.rawHeaders,
+          stream: response,
+        });
+      });
+      outgoing.on("error", (error) => {
+        failure.clear();
+        reject(failure.createError(error));
+      });
+      outgoing.end(body);
+    });
+  }
+
+  /**
+   * Sends a request and resolves with the whole answer.
+   *
+   * @param exchange - The request.
+   * @param bodyTimeoutMs - The longest wait for the body after the head.
+   */
+  async send(
+    exchange: HttpRequest,
+    bodyTimeoutMs: number,
+  ): Promise<HttpAnswer> {
+    const head = await this.open(exchange);
+    const body = await readBody(head.stream, {
+      timeoutMs: bodyTimeoutMs,
+      port: this.#options.port,
+      operation: exchange.path,
+    });
+    return { ...head, body };
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  /** Ends an exchange whose connection or head takes too long, and remembers why. */
+  #watch(outgoing: ClientRequest, exchange: HttpRequest): ExchangeWatch {
+    const { port, connectTimeoutMs } = this.#options;
+    let isConnected = false;
+    let fault: PortFault | undefined;
+    const end = (reason: PortFault) => {
+      fault ??= reason;
+      outgoing.destroy();
+    };
+    const connecting = setTimeout(() => end("refused"), connectTimeoutMs);
+    const waiting = setTimeout(() => end("silent"), exchange.headTimeoutMs);
+    const abort = () => end("cancelled");
+    exchange.signal?.addEventListener("abort", abort, { once: true });
+    outgoing.on("close", () => {
+      exchange.signal?.removeEventListener("abort", abort);
+    });
+    outgoing.on("socket", (socket: Socket) => {
+      const onConnected = () => {
+        isConnected = true;
+        clearTimeout(connecting);
+      };
+      socket.connecting ? socket.once("connect", onConnected) : onConnected();
+    });
+    if (exchange.signal?.aborted) {
+      end("cancelled");
+    }
+    return {
+      clear: () => {
+        clearTimeout(connecting);
+        clearTimeout(waiting);
+      },
+      createError: (error) => {
+        const kind = fault ?? (isConnected ? "reset" : "refused");
+        return createPortError(`${port} ${exchange.path}: ${kind}`, {
+          cause: error,
+          port,
+          operation: exchange.path,
+          fault: kind,
+          outcome: isConnected ? "unknown" : "not-run",
+        });
+      },
+    };
+  }
+}
+
+interface ExchangeWatch {
+  readonly clear: () => void;
+  readonly createError: (error: unknown) => PortError;
+}
+
+function hasBody({ method, body }: HttpRequest): boolean {
+  return body !== undefined || method === "POST" || method === "PUT";
+}
+
+/** How a body is read. */
+export interface BodyReading {
+  readonly timeoutMs: number;
+  readonly port: string;
+  readonly operation: string;
+}
+
+/**
+ * Reads the whole body of an answer; one that breaks off or takes too long is
+ * a {@link PortError} with the outcome "unknown".
+ *
+ * @example
+ * ```ts
+ * declare const head: import("./http_exchange.ts").HttpHead;
+ *
+ * const body = await readBody(head.stream, {
+ *   timeoutMs: 1000,
+ *   port: "store",
+ *   operation: "read",
+ * });
+ * ```
+ * @param stream - The answer.
+ * @param reading - The bound, and the names for errors.
+ */
+export function readBody(
+  stream: IncomingMessage,
+  reading: BodyReading,
+): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let isLate = false;
+    const timer = setTimeout(() => {
+      isLate = true;
+      stream.destroy();
+    }, reading.timeoutMs);
+    stream.on("data", (chunk: Buffer) => chunks.push(chunk));
+    stream.on("close", () => {
+      clearTimeout(timer);
+      if (stream.complete && !isLate) {
+        resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+        return;
+      }
+      const { port, operation } = reading;
+      reject(createPortError(`${port} ${operation}: the answer broke off`, {
+        port,
+        operation,
+        fault: isLate ? "silent" : "incomplete",
+        outcome: "unknown",
+      }));
+    });
+  });
+}
--- /dev/null
+++ b/packages/edge/src/calls/ingress.ts
@@ -0,0 +1,186 @@
+/**
+ * The front for callers: decides which part answers a request.
+ * @module
+ */
+import { InputError } from "@briarhill/common/errors/errors";
+import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
+import {
+  decodeIngressCall,
+  type IngressCall,
+} from "@briarhill/platform/ingress/ingress_call";
+import {
+  decodeRequestHead,
+  type RequestHead,
+} from "@briarhill/platform/ingress/request_head";
+import type { RouteStructure } from "@briarhill/routing/table/route";
+import type { RouteTable } from "@briarhill/routing/table/route_table";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { LotRoutes } from "../lots/lot_routes.ts";
+import { writeOwnReply } from "./caller_reply.ts";
+import type { LiveCalls } from "./live_calls.ts";
+import { readRequestBody } from "./request_body.ts";
+
+/** When to come back to a host that knows no configuration yet, in milliseconds. */
+const STARTING_RETRY_MS = 500;
+
+/** One request of a caller. */
+export interface CallerExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly head: RequestHead;
+  /** When the request arrived, on the monotonic clock. */
+  readonly arrivedAtMs: number;
+}
+
+/** A request for a route, with its whole body. */
+export interface RoutedExchange extends CallerExchange {
+  readonly route: RouteStructure;
+  readonly body: Buffer;
+}
+
+/** What the front needs. */
+export interface IngressOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly getTable: () => RouteTable | undefined;
+  readonly isReady: () => boolean;
+  readonly liveCalls: LiveCalls;
+  readonly lotRoutes: LotRoutes;
+}
+
+/** Decides which part answers a request. */
+export class Ingress {
+  readonly #options: IngressOptions;
+  #open = 0;
+
+  constructor(options: IngressOptions) {
+    this.#options = options;
+  }
+
+  /** How many requests are being answered. */
+  get open(): number {
+    return this.#open;
+  }
+
+  /**
+   * Answers a request.
+   *
+   * @param request - The request.
+   * @param response - Where to write.
+   */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#open++;
+    // A caller that goes away shows as a close.
+    response.on("error", () => undefined);
+    try {
+      await this.#dispatch(request, response);
+    } catch (error) {
+      this.#handleError(error, request, response);
+    } finally {
+      this.#open--;
+    }
+  }
+
+  async #dispatch(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { clock, isReady, getTable, lotRoutes } = this.#options;
+    const call = decodeIngressCall(request.method ?? "GET", request.url ?? "/");
+    if (call.kind === "ready") {
+      writeOwnReply(response, {
+        status: isReady() ? 200 : 503,
+        title: isReady() ? "ready" : "not ready",
+      });
+      return;
+    }
+    const exchange = {
+      request,
+      response,
+      head: decodeRequestHead(request.headers),
+      arrivedAtMs: clock.getMonotonicMs(),
+    };
+    const table = getTable();
+    if (table === undefined) {
+      writeOwnReply(response, {
+        status: 503,
+        title: "this host knows no configuration yet",
+        retryAfterMs: STARTING_RETRY_MS,
+      });
+      return;
+    }
+    if (call.kind !== "routed") {
+      request.resume();
+      await this.#answerLotCall(call, exchange, lotRoutes);
+      return;
+    }
+    await this.#answerRouted(exchange, table);
+  }
+
+  async #answerLotCall(
+    call: Exclude<IngressCall, { kind: "ready" | "routed" }>,
+    exchange: CallerExchange,
+    lotRoutes: LotRoutes,
+  ): Promise<void> {
+    switch (call.kind) {
+      case "results":
+        return await lotRoutes.answerResults(exchange, call);
+      case "end":
+        return await lotRoutes.answerEnd(exchange, call.lot);
+      case "sample-body":
+        return await lotRoutes.answerBody(exchange, call);
+    }
+  }
+
+  async #answerRouted(
+    exchange: CallerExchange,
+    table: RouteTable,
+  ): Promise<void> {
+    const { request, response } = exchange;
+    const { liveCalls, lotRoutes } = this.#options;
+    const host = request.headers.host ?? "";
+    const route = table.findRoute(host, request.url ?? "/");
+    if (route === undefined) {
+      request.resume();
+      this.#options.logger.info("request-unrouted", {
+        request: exchange.head.attemptId,
+        host,
+        path: request.url ?? "",
+        configuration: table.version,
+      });
+      writeOwnReply(response, { status: 404, title: "no route" });
+      return;
+    }
+    const { maxBodyBytes } = table.configuration.limits;
+    const body = await readRequestBody(request, maxBodyBytes);
+    if (body === undefined) {
+      response.destroy();
+      return;
+    }
+    const routed = { ...exchange, route, body };
+    await (route.kind === "rollout"
+      ? lotRoutes.answerHandIn(routed)
+      : liveCalls.answer(routed));
+  }
+
+  #handleError(
+    error: unknown,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const isInput = error instanceof InputError;
+    this.#options.logger.error("request-failed", error, {
+      method: request.method ?? "",
+      path: request.url ?? "",
+    });
+    const isTooLarge = isInput && error.key === "body";
+    writeOwnReply(response, {
+      status: isTooLarge ? 413 : isInput ? 400 : 500,
+      title: isInput ? error.message : "internal error",
+    });
+  }
+}
--- /dev/null
+++ b/packages/edge/src/calls/live_calls.ts
@@ -0,0 +1,182 @@
+/**
+ * Answers live callers from endpoints.
+ * @module
+ */
+import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
+import {
+  encodeForwardedHeaders,
+  encodeReturnedHeaders,
+} from "@briarhill/platform/ingress/request_head";
+import type { EndpointSender } from "./endpoint_sender.ts";
+import type { CallForwarder, ForwardReport } from "./call_forwarder.ts";
+import { writeOwnReply, writeWhole } from "./caller_reply.ts";
+import type { RoutedExchange } from "./ingress.ts";
+import { streamAnswer, type StreamOutcome } from "./stream_call.ts";
+
+/** Time kept for the way back to the caller, in milliseconds. */
+const RETURN_MS = 25;
+/** When to come back after a refusal, in milliseconds: the usual time until a place is free. */
+const FULL_RETRY_AFTER_MS = 50;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_TIMEOUT = 504;
+
+/** What answers live callers. */
+export interface LiveCallsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly forwarder: CallForwarder;
+  readonly sender: EndpointSender;
+  readonly onAnswered: (customer: string, tookMs: number) => void;
+}
+
+/** Answers live callers from endpoints. */
+export class LiveCalls {
+  readonly #options: LiveCallsOptions;
+
+  constructor(options: LiveCallsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Answers a request for a plain service or a stream.
+   *
+   * @param exchange - The request.
+   */
+  async answer(exchange: RoutedExchange): Promise<void> {
+    const gone = new AbortController();
+    exchange.response.on("close", () => gone.abort());
+    if (exchange.response.destroyed) {
+      gone.abort();
+    }
+    await (exchange.route.kind === "stream"
+      ? this.#answerStream(exchange, gone.signal)
+      : this.#answerWhole(exchange, gone.signal));
+  }
+
+  async #answerWhole(
+    exchange: RoutedExchange,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, forwarder, onAnswered } = this.#options;
+    const { request, response, route, head, arrivedAtMs } = exchange;
+    const callerDeadlineMs = arrivedAtMs + head.deadlineMs;
+    const report = await forwarder.forward({
+      route,
+      attemptId: head.attemptId,
+      method: request.method ?? "GET",
+      path: request.url ?? "/",
+      rawHeaders: request.rawHeaders,
+      body: exchange.body,
+      deadlineMs: Math.min(
+        callerDeadlineMs - RETURN_MS,
+        arrivedAtMs + route.timeoutMs,
+      ),
+      callerDeadlineMs: Math.min(
+        callerDeadlineMs,
+        arrivedAtMs + route.timeoutMs,
+      ),
+      signal,
+    });
+    const { outcome } = report;
+    if (outcome.kind === "answered") {
+      const { status, rawHeaders, body } = outcome.whole;
+      writeWhole(response, {
+        status,
+        headers: encodeReturnedHeaders(rawHeaders),
+        body,
+      });
+    } else {
+      this.#writeFailure(exchange, outcome);
+    }
+    const tookMs = clock.getMonotonicMs() - arrivedAtMs;
+    onAnswered(route.name, tookMs);
+    this.#logReport(exchange, report, tookMs);
+  }
+
+  #writeFailure(
+    { response }: RoutedExchange,
+    outcome: { readonly kind: "refused" | "failed"; readonly reason: string },
+  ): void {
+    if (outcome.kind === "refused") {
+      writeOwnReply(response, {
+        status: STATUS_UNAVAILABLE,
+        title: `not run: ${outcome.reason}`,
+        retryAfterMs: FULL_RETRY_AFTER_MS,
+      });
+      return;
+    }
+    const isLate = outcome.reason === "deadline";
+    writeOwnReply(response, {
+      status: isLate ? STATUS_TIMEOUT : STATUS_BAD_GATEWAY,
+      title: `may have run: ${outcome.reason}`,
+    });
+  }
+
+  #logReport(
+    { route, head, response }: RoutedExchange,
+    { outcome, attempts }: ForwardReport,
+    tookMs: number,
+  ): void {
+    this.#options.logger.info("call-ended", {
+      request: head.attemptId,
+      route: route.name,
+      outcome: outcome.kind,
+      reason: outcome.kind === "answered" ? "" : outcome.reason,
+      endpoint: outcome.kind === "answered" ? outcome.endpoint : "",
+      status: response.statusCode,
+      attempts,
+      tookMs: Math.round(tookMs),
+    });
+  }
+
+  async #answerStream(
+    exchange: RoutedExchange,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, forwarder, sender } = this.#options;
+    const { request, response, route, head, arrivedAtMs } = exchange;
+    const deadlineMs = arrivedAtMs + head.deadlineMs;
+    const tried = new Set<string>();
+    let outcome: StreamOutcome = "not-run";
+    while (
+      outcome === "not-run" && tried.size < route.maxAttempts &&
+      !signal.aborted
+    ) {
+      const endpoint = forwarder.pickEndpoint(route, tried);
+      if (endpoint === undefined || tried.has(endpoint.id)) {
+        break;
+      }
+      tried.add(endpoint.id);
+      const leftMs = Math.max(1, deadlineMs - clock.getMonotonicMs());
+      outcome = await streamAnswer(response, {
+        sender,
+        request: {
+          endpoint,
+          attemptId: head.attemptId,
+          method: request.method ?? "GET",
+          path: request.url ?? "/",
+          headers: encodeForwardedHeaders(request.rawHeaders, {
+            endpoint: endpoint.id,
+            deadlineMs: leftMs,
+          }),
+          body: exchange.body,
+          timeoutMs: Math.min(leftMs, route.timeoutMs),
+          signal,
+        },
+      });
+    }
+    if (outcome === "not-run" || outcome === "unknown") {
+      const kind = outcome === "not-run" ? "refused" : "failed";
+      this.#writeFailure(exchange, { kind, reason: "stream" });
+    }
+    this.#options.logger.info("stream-ended", {
+      request: head.attemptId,
+      route: route.name,
+      outcome,
+      attempts: tried.size,
+      tookMs: Math.round(clock.getMonotonicMs() - arrivedAtMs),
+    });
+  }
+}
--- /dev/null
+++ b/packages/edge/src/lots/lot_desk.ts
@@ -0,0 +1,141 @@
+/**
+ * Takes lots and answers what trainers ask about them, at any host.
+ * @module
+ */
+import { PortError } from "@briarhill/common/errors/errors";
+import type { LotId } from "@briarhill/common/ids/ids";
+import type { Clock } from "@briarhill/common/time/clock";
+import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
+import { encodeEnd, encodeLot } from "@briarhill/rollout/ledger/lot_record";
+import type { LotRequest } from "@briarhill/rollout/ledger/lot_request";
+import type { AppendOutcome, LotAppender } from "./lot_appender.ts";
+import type { LotPartition } from "./lot_partition.ts";
+import type { LotPartitions } from "./lot_partitions.ts";
+
+/** How fresh a partition has to be to say that a lot doesn't exist, in milliseconds. */
+const FRESH_MS = 50;
+
+/** What a desk needs. */
+export interface LotDeskOptions {
+  readonly clock: Clock;
+  readonly partitions: LotPartitions;
+  readonly appender: LotAppender;
+  readonly maxRecordBytes: number;
+}
+
+/** A lot, or why there is none to show. */
+export type LotAnswer =
+  | { readonly kind: "found"; readonly lot: LedgerLot }
+  | { readonly kind: "missing" }
+  /** The shared log can't be read, so nothing is certain. */
+  | { readonly kind: "uncertain" };
+
+/** Takes lots and answers what trainers ask about them. */
+export class LotDesk {
+  readonly #options: LotDeskOptions;
+
+  constructor(options: LotDeskOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Accepts a lot: it is kept once this resolves with "appended".
+   *
+   * @param lot - The lot.
+   * @param deadlineMs - When to give up, on the monotonic clock.
+   */
+  async acceptLot(lot: LotRequest, deadlineMs: number): Promise<AppendOutcome> {
+    const { partitions, appender, maxRecordBytes } = this.#options;
+    const number = partitions.getNumber(lot.id);
+    if (partitions.follow(number).ledger.getLot(lot.id) !== undefined) {
+      return "appended";
+    }
+    return await appender.append(
+      number,
+      (nonce) => encodeLot(lot, { nonce, maxRecordBytes }),
+      deadlineMs,
+    );
+  }
+
+  /**
+   * Ends a lot; resolves with "missing" where there is none.
+   *
+   * @param id - The lot.
+   * @param deadlineMs - When to give up, on the monotonic clock.
+   */
+  async endLot(
+    id: LotId,
+    deadlineMs: number,
+  ): Promise<AppendOutcome | "missing"> {
+    const found = await this.findLot(id);
+    if (found.kind === "missing") {
+      return "missing";
+    }
+    if (found.kind === "found" && found.lot.hasEnded) {
+      return "appended";
+    }
+    const { partitions, appender } = this.#options;
+    return await appender.append(
+      partitions.getNumber(id),
+      (nonce) => [encodeEnd({ lot: id, nonce })],
+      deadlineMs,
+    );
+  }
+
+  /**
+   * Returns a lot; one that is not known yet is looked for at the end of the log.
+   *
+   * @param id - The lot.
+   */
+  async findLot(id: LotId): Promise<LotAnswer> {
+    const { partitions, clock } = this.#options;
+    const partition = partitions.follow(partitions.getNumber(id));
+    const known = partition.ledger.getLot(id);
+    if (known !== undefined) {
+      return { kind: "found", lot: known };
+    }
+    if (clock.getMonotonicMs() - partition.currentAtMs > FRESH_MS) {
+      try {
+        await partition.readToEnd();
+      } catch (error) {
+        if (error instanceof PortError) {
+          return { kind: "uncertain" };
+        }
+        throw error;
+      }
+    }
+    const lot = partition.ledger.getLot(id);
+    return lot === undefined ? { kind: "missing" } : { kind: "found", lot };
+  }
+
+  /**
+   * Waits until a lot has a result at a position, or the time is up.
+   *
+   * @param lot - The lot.
+   * @param position - The position.
+   * @param waitMs - The longest wait, in milliseconds.
+   */
+  async waitResult(
+    lot: LedgerLot,
+    position: number,
+    waitMs: number,
+  ): Promise<void> {
+    const { clock, partitions } = this.#options;
+    const partition: LotPartition = partitions.follow(
+      partitions.getNumber(lot.id),
+    );
+    const deadlineMs = clock.getMonotonicMs() + waitMs;
+    while (lot.results.length <= position && lot.isOpen) {
+      const leftMs = deadlineMs - clock.getMonotonicMs();
+      if (leftMs <= 0) {
+        return;
+      }
+      const stopped = new AbortController();
+      await Promise.race([
+        partition.changes.wait(),
+        clock.sleep(leftMs, stopped.signal),
+      ]);
+      stopped.abort();
+    }
+  }
+}
--- /dev/null
+++ b/packages/edge/src/lots/sample_scorer.ts
@@ -0,0 +1,79 @@
+/**
+ * Scores finished samples through the routes of plain services.
+ * @module
+ */
+import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
+import { encodeScoring } from "@briarhill/platform/engine/sample_call";
+import { decodeEndpointAnswer } from "@briarhill/platform/ingress/endpoint_answer";
+import type { ScoringRequest } from "@briarhill/rollout/ledger/lot_request";
+import type { RouteStructure } from "@briarhill/routing/table/route";
+import { Buffer } from "node:buffer";
+import type { CallForwarder } from "../calls/call_forwarder.ts";
+
+const FIRST_FAILURE_STATUS = 300;
+const SERVER_ERROR_STATUS = 500;
+
+/** A score, or an empty signature and how many endpoints failed of themselves. */
+export interface ScoringReport {
+  readonly signature: string;
+  readonly failures: number;
+}
+
+/** Scores finished samples. */
+export class SampleScorer {
+  readonly #forwarder: CallForwarder;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+
+  constructor(forwarder: CallForwarder, clock: Clock, logger: Logger) {
+    this.#forwarder = forwarder;
+    this.#clock = clock;
+    this.#logger = logger;
+  }
+
+  /**
+   * Scores a sample.
+   *
+   * @param scoring - The request.
+   * @param route - Its route.
+   * @param signal - Ends the call, as the score is no longer wanted.
+   */
+  async scoreSample(
+    scoring: ScoringRequest,
+    route: RouteStructure,
+    signal: AbortSignal,
+  ): Promise<ScoringReport> {
+    const call = encodeScoring(scoring);
+    const deadlineMs = this.#clock.getMonotonicMs() + route.timeoutMs;
+    const { outcome, attempts, failedAnswers } = await this.#forwarder.forward({
+      route,
+      attemptId: scoring.id,
+      method: call.method,
+      path: call.path,
+      rawHeaders: call.headers,
+      body: call.body ?? Buffer.alloc(0),
+      deadlineMs,
+      callerDeadlineMs: deadlineMs,
+      signal,
+    });
+    if (outcome.kind === "answered") {
+      const { status, signature } = decodeEndpointAnswer(outcome.whole);
+      if (status < FIRST_FAILURE_STATUS && signature !== "") {
+        return { signature, failures: 0 };
+      }
+    }
+    this.#logger.warn("scoring-failed", {
+      scoring: scoring.id,
+      kind: outcome.kind,
+      reason: outcome.kind === "answered"
+        ? `status ${outcome.whole.status}`
+        : outcome.reason,
+      attempts,
+      failedAnswers,
+    });
+    const isFailure = outcome.kind === "answered" &&
+      outcome.whole.status === SERVER_ERROR_STATUS;
+    return { signature: "", failures: isFailure ? failedAnswers : 0 };
+  }
+}
--- /dev/null
+++ b/packages/edge/src/node/main.ts
@@ -0,0 +1,39 @@
+/**
+ * The command `briarhilld` on the users' platform: runs one host until it is told to stop.
+ * @module
+ */
+import { BriarhillError } from "@briarhill/common/errors/errors";
+import { Logger, setLogWriter } from "@briarhill/common/logging/logger";
+import { SETTINGS_VARIABLE } from "@briarhill/platform/names/settings_file";
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { LogWriter } from "../observe/log_writer.ts";
+import { parseHostSettings } from "../settings/host_settings.ts";
+import { EntryHost } from "./entry_host.ts";
+
+const EXIT_SETTINGS = 2;
+
+async function runHost(): Promise<void> {
+  const writer = new LogWriter();
+  setLogWriter((line) => writer.writeLine(line));
+  const path = process.env[SETTINGS_VARIABLE] ?? "";
+  const settings = parseHostSettings(path, readFileSync(path, "utf8"));
+  const logger = Logger.create({ host: settings.host });
+  const host = new EntryHost(settings, logger);
+  process.on("SIGHUP", () => {
+    // Addresses can't change while they are in use; the rest is read at the next start.
+    logger.info("settings-reloaded", { path });
+  });
+  process.once("SIGTERM", () => {
+    void host.stop().then(() => process.exit(0));
+  });
+  await host.start();
+}
+
+runHost().catch((error: unknown) => {
+  const isKnown = error instanceof BriarhillError;
+  process.stderr.write(
+    `briarhilld: ${isKnown ? error.message : String(error)}\n`,
+  );
+  process.exit(isKnown ? EXIT_SETTINGS : 1);
+});
--- a/packages/node/src/claims/claim_keeper.ts
+++ b/packages/node/src/claims/claim_keeper.ts
@@ -13,7 +13,7 @@
   type ClaimVerdict,
   getClaimStream,
 } from "@briarhill/routing/claims/claim_structure";
-import { listOwners } from "@briarhill/routing/picking/rendezvous";
+import { listOwners } from "@briarhill/common/hashing/rendezvous";
 import type { NodeContext } from "../node/node_context.ts";
 import { parseMessage, parseReply } from "../peers/peer_message.ts";
 import type { PeerNetwork } from "../peers/peer_network.ts";
--- /dev/null
+++ b/packages/platform/src/ingress/request_head.ts
@@ -0,0 +1,146 @@
+/**
+ * The headers of callers' requests, and those that endpoints get.
+ * @module
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import {
+  ATTEMPT_ID,
+  DEADLINE_MS,
+  EXPECTED_INSTANCE,
+  LAST_EVENT_ID,
+  WAIT_MS,
+} from "../names/headers.ts";
+
+/** Headers that concern one connection only, or that are set anew. */
+const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "transfer-encoding",
+  "content-length",
+  "te",
+  "trailer",
+  "upgrade",
+  "expect",
+  DEADLINE_MS.toLowerCase(),
+  EXPECTED_INSTANCE.toLowerCase(),
+]);
+
+/** What the head of a caller's request says. */
+export interface RequestHead {
+  /** Empty where the caller sent none. */
+  readonly attemptId: string;
+  /** How long the caller will wait, in milliseconds; Infinity where it doesn't say. */
+  readonly deadlineMs: number;
+  /** The last event that the caller has of a stream; empty where it has none. */
+  readonly lastEventId: string;
+  /** How long a read may be held open, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/**
+ * Decodes the head of a caller's request.
+ *
+ * @example
+ * ```ts
+ * const { deadlineMs } = decodeRequestHead({ host: "a.example" });
+ * ```
+ * @param headers - The headers.
+ */
+export function decodeRequestHead(headers: IncomingHttpHeaders): RequestHead {
+  return {
+    attemptId: getText(headers, ATTEMPT_ID),
+    deadlineMs: getNumber(headers, DEADLINE_MS) ?? Infinity,
+    lastEventId: getText(headers, LAST_EVENT_ID),
+    waitMs: getNumber(headers, WAIT_MS) ?? 0,
+  };
+}
+
+/** What is set anew on the way to an endpoint. */
+export interface ForwardingHead {
+  readonly endpoint: string;
+  /** How long the endpoint may work, in milliseconds. */
+  readonly deadlineMs: number;
+}
+
+/**
+ * Returns the headers of a request on its way to an endpoint.
+ *
+ * @example
+ * ```ts
+ * const headers = encodeForwardedHeaders(["Host", "a.example"], {
+ *   endpoint: "i-1",
+ *   deadlineMs: 500,
+ * });
+ * ```
+ * @param rawHeaders - The caller's headers, names and values in turn.
+ * @param head - What is set anew.
+ */
+export function encodeForwardedHeaders(
+  rawHeaders: readonly string[],
+  head: ForwardingHead,
+): readonly string[] {
+  return [
+    ...filterHeaders(rawHeaders, NOT_FORWARDED),
+    DEADLINE_MS,
+    String(Math.max(1, Math.floor(head.deadlineMs))),
+    EXPECTED_INSTANCE,
+    head.endpoint,
+  ];
+}
+
+/** Headers of an answer that concern one connection only. */
+const NOT_RETURNED: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "transfer-encoding",
+  "content-length",
+  "trailer",
+  "upgrade",
+]);
+
+/**
+ * Returns the headers of an endpoint's answer on their way to the caller.
+ *
+ * @example
+ * ```ts
+ * const headers = encodeReturnedHeaders(["Content-Type", "text/plain"]);
+ * ```
+ * @param rawHeaders - The endpoint's headers, names and values in turn.
+ */
+export function encodeReturnedHeaders(
+  rawHeaders: readonly string[],
+): readonly string[] {
+  return filterHeaders(rawHeaders, NOT_RETURNED);
+}
+
+function filterHeaders(
+  rawHeaders: readonly string[],
+  dropped: ReadonlySet<string>,
+): readonly string[] {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!;
+    if (!dropped.has(name.toLowerCase())) {
+      kept.push(name, rawHeaders[index + 1]!);
+    }
+  }
+  return kept;
+}
+
+function getText(headers: IncomingHttpHeaders, name: string): string {
+  const value = headers[name.toLowerCase()];
+  return typeof value === "string" ? value : "";
+}
+
+function getNumber(
+  headers: IncomingHttpHeaders,
+  name: string,
+): number | undefined {
+  const text = getText(headers, name);
+  const value = Number(text);
+  return text === "" || !Number.isFinite(value) || value < 0
+    ? undefined
+    : value;
+}
--- /dev/null
+++ b/packages/rollout/src/dispatch/lot_work.ts
@@ -0,0 +1,78 @@
+/**
+ * The open work of one lot, and which of its samples goes next.
+ *
+ * Load pattern: the trainer waits for whole groups by a due time, and a few
+ * samples run many times longer than the rest. Groups are worked on one after
+ * the other, those with the longest samples first, so that long ones start
+ * early; groups that have begun are finished before others begin.
+ * @module
+ */
+import type { SampleId } from "@briarhill/common/ids/ids";
+import type { LedgerLot } from "../ledger/ledger_lot.ts";
+import { SampleTask } from "./sample_task.ts";
+
+/** The open work of one lot. */
+export class LotWork {
+  readonly lot: LedgerLot;
+  readonly #tasks = new Map<SampleId, SampleTask>();
+  readonly #order: readonly SampleTask[];
+
+  constructor(lot: LedgerLot) {
+    this.lot = lot;
+    for (const sample of lot.request.samples) {
+      if (!lot.isSettled(sample.id)) {
+        this.#tasks.set(sample.id, new SampleTask(sample));
+      }
+    }
+    this.#order = sortTasks([...this.#tasks.values()]);
+  }
+
+  /** Whether samples are left. */
+  get isOpen(): boolean {
+    return this.lot.isOpen;
+  }
+
+  /** Returns all samples that have no settled result. */
+  listOpen(): readonly SampleTask[] {
+    return this.#order.filter(({ request, phase }) =>
+      phase !== "done" && !this.lot.isSettled(request.id)
+    );
+  }
+
+  /**
+   * Returns the samples that may be generated now, the next one first.
+   *
+   * @param nowMs - The time, on the monotonic clock.
+   */
+  listWaiting(nowMs: number): readonly SampleTask[] {
+    return this.listOpen().filter(({ phase, notBeforeMs }) =>
+      phase === "waiting" && notBeforeMs <= nowMs
+    );
+  }
+
+  /**
+   * Returns the samples that may be scored now.
+   *
+   * @param nowMs - The time, on the monotonic clock.
+   */
+  listUnscored(nowMs: number): readonly SampleTask[] {
+    return this.listOpen().filter(({ phase, notBeforeMs }) =>
+      phase === "unscored" && notBeforeMs <= nowMs
+    );
+  }
+}
+
+function sortTasks(tasks: readonly SampleTask[]): readonly SampleTask[] {
+  const longest = new Map<string, number>();
+  for (const { request: { group, expectedTokens } } of tasks) {
+    longest.set(group, Math.max(longest.get(group) ?? 0, expectedTokens));
+  }
+  return [...tasks].sort(({ request: a }, { request: b }) =>
+    (longest.get(b.group) ?? 0) - (longest.get(a.group) ?? 0) ||
+    (a.group === b.group
+      ? b.expectedTokens - a.expectedTokens
+      : a.group < b.group
+      ? -1
+      : 1)
+  );
+}
--- /dev/null
+++ b/packages/rollout/src/ledger/ledger_lot.ts
@@ -0,0 +1,81 @@
+/**
+ * One lot as the shared log tells it.
+ * @module
+ */
+import type { LotId, SampleId } from "@briarhill/common/ids/ids";
+import type { LotRequest, SampleResult } from "./lot_request.ts";
+
+/** One lot as the shared log tells it: its samples, its settled results, whether it has ended. */
+export class LedgerLot {
+  readonly id: LotId;
+  readonly request: LotRequest;
+  readonly #keys: string[] = [];
+  readonly #results: SampleResult[] = [];
+  readonly #settled = new Set<SampleId>();
+  readonly #samples: ReadonlySet<SampleId>;
+  #hasEnded = false;
+
+  constructor(request: LotRequest) {
+    this.id = request.id;
+    this.request = request;
+    this.#samples = new Set(request.samples.map(({ id }) => id));
+  }
+
+  /** Whether its trainer has ended it. */
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** Whether results may still be settled. */
+  get isOpen(): boolean {
+    return !this.#hasEnded && this.#settled.size < this.#samples.size;
+  }
+
+  /** The settled results; the index is the position. */
+  get results(): readonly SampleResult[] {
+    return this.#results;
+  }
+
+  /** The keys of the records that tell of this lot. */
+  get keys(): readonly string[] {
+    return this.#keys;
+  }
+
+  /**
+   * Tells whether a sample has a settled result.
+   *
+   * @param sample - The sample.
+   */
+  isSettled(sample: SampleId): boolean {
+    return this.#settled.has(sample);
+  }
+
+  /**
+   * Remembers a key, so that it can be removed with the lot.
+   *
+   * @param key - The key.
+   */
+  addKey(key: string): void {
+    this.#keys.push(key);
+  }
+
+  /**
+   * Settles results; one of a sample that has a result, or is not of this lot, is ignored.
+   *
+   * @param results - The results, in the order of their record.
+   */
+  settleResults(results: readonly SampleResult[]): void {
+    for (const result of results) {
+      const { sample } = result;
+      if (this.#samples.has(sample) && !this.#settled.has(sample)) {
+        this.#settled.add(sample);
+        this.#results.push(result);
+      }
+    }
+  }
+
+  /** Ends the lot; results that are settled later are still listed. */
+  close(): void {
+    this.#hasEnded = true;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/endpoints/endpoint_load.ts
@@ -0,0 +1,115 @@
+/**
+ * What this host has seen of one endpoint's load and behaviour.
+ * @module
+ */
+
+/** Weight of the newest sample in the moving averages. */
+const SAMPLE_WEIGHT = 0.25;
+/** How long a load report says something, in milliseconds; engines report with a lag of some 200 ms. */
+const REPORT_LIFE_MS = 600;
+/** The first pause after a failure, in milliseconds; it doubles up to the longest. */
+const FIRST_PAUSE_MS = 400;
+const LONGEST_PAUSE_MS = 4_000;
+
+/** How a request at an endpoint ended, as far as its health is concerned. */
+export type EndpointOutcome = "served" | "refused" | "broken" | "unreachable";
+
+/** What this host has seen of one endpoint. */
+export class EndpointLoad {
+  #inFlight = 0;
+  #pace = 1;
+  #failures = 0;
+  #pausedUntilMs = 0;
+  #reportedAtMs = -Infinity;
+  #reported = 0;
+  #reportedOwn = 0;
+
+  /** How many requests of this host it is working on. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** How long its work takes compared with its peers; 1 is the usual. */
+  get pace(): number {
+    return this.#pace;
+  }
+
+  /** Counts a request that is sent. */
+  addRequest(): void {
+    this.#inFlight++;
+  }
+
+  /**
+   * Counts a request that has ended.
+   *
+   * @param outcome - How it ended.
+   * @param nowMs - The time.
+   */
+  removeRequest(outcome: EndpointOutcome | "cancelled", nowMs: number): void {
+    this.#inFlight = Math.max(0, this.#inFlight - 1);
+    if (outcome === "served") {
+      this.#failures = 0;
+      this.#pausedUntilMs = 0;
+    } else if (outcome === "unreachable" || outcome === "broken") {
+      this.#failures++;
+      const pauseMs = FIRST_PAUSE_MS * 2 ** (this.#failures - 1);
+      // One spoilt answer is no sign of a broken endpoint.
+      if (outcome === "unreachable" || this.#failures > 1) {
+        this.#pausedUntilMs = nowMs + Math.min(pauseMs, LONGEST_PAUSE_MS);
+      }
+    }
+  }
+
+  /**
+   * Holds new work back for a while, as the endpoint has refused some.
+   *
+   * @param untilMs - Until when.
+   */
+  suspend(untilMs: number): void {
+    this.#pausedUntilMs = Math.max(this.#pausedUntilMs, untilMs);
+  }
+
+  /**
+   * Records how long work took compared with the usual.
+   *
+   * @param ratio - 1 is the usual, 2 is twice as long.
+   */
+  addPace(ratio: number): void {
+    this.#pace += SAMPLE_WEIGHT * (ratio - this.#pace);
+  }
+
+  /**
+   * Records the load that the endpoint has reported.
+   *
+   * @param requests - Running and waiting requests of all callers.
+   * @param nowMs - The time.
+   */
+  setReported(requests: number, nowMs: number): void {
+    this.#reported = requests;
+    this.#reportedOwn = this.#inFlight;
+    this.#reportedAtMs = nowMs;
+  }
+
+  /**
+   * Returns the best guess of its running and waiting requests: the last
+   * report where it is fresh, corrected by what this host has sent since.
+   *
+   * @param nowMs - The time.
+   */
+  getRequests(nowMs: number): number {
+    if (nowMs - this.#reportedAtMs > REPORT_LIFE_MS) {
+      return this.#inFlight;
+    }
+    const sinceReport = this.#inFlight - this.#reportedOwn;
+    return Math.max(this.#inFlight, this.#reported + sinceReport);
+  }
+
+  /**
+   * Tells whether new work is held back after failures.
+   *
+   * @param nowMs - The time.
+   */
+  isPaused(nowMs: number): boolean {
+    return nowMs < this.#pausedUntilMs;
+  }
+}
--- a/packages/routing/src/picking/engine_subset.ts
+++ b/packages/routing/src/picking/engine_subset.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { EndpointId, HostId } from "@briarhill/common/ids/ids";
-import { hashPair, hashText } from "./rendezvous.ts";
+import { hashPair, hashText } from "@briarhill/common/hashing/rendezvous";
 
 /** Below this number a host watches all engines. */
 const WATCH_ALL_ENGINES = 64;
--- a/packages/routing/src/picking/prefix_hash.ts
+++ b/packages/routing/src/picking/prefix_hash.ts
@@ -2,7 +2,7 @@
  * The hash that stands for a prompt's prefix.
  * @module
  */
-import { hashText } from "./rendezvous.ts";
+import { hashText } from "@briarhill/common/hashing/rendezvous";
 
 const BLOCK_CHARACTERS = 128;
 /** Prompts of one application share their first blocks; later ones differ. */
--- a/packages/routing/src/shares/demand_tree.ts
+++ b/packages/routing/src/shares/demand_tree.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { HostId } from "@briarhill/common/ids/ids";
-import { hashText } from "../picking/rendezvous.ts";
+import { hashText } from "@briarhill/common/hashing/rendezvous";
 import { computeTotal, NO_SUMS, type ShareSums } from "./share_sums.ts";
 
 const CHILDREN_PER_HOST = 4;
