--- a/packages/bench/src/failures/caller_load.ts
+++ b/packages/bench/src/failures/caller_load.ts
@@ -6,10 +6,7 @@
 import type { PortError } from "@briarhill/common/errors/errors";
 import type { Outcome } from "@briarhill/common/ids/ids";
 import type { Clock } from "@briarhill/common/time/clock";
-import {
-  type HttpCall,
-  HttpClient,
-} from "@briarhill/ports/http/http_client";
+import { type HttpCall, HttpClient } from "@briarhill/ports/http/http_client";
 import { parseEvents } from "../caller/live_caller.ts";
 import type { Attempt, LiveRecord, ServiceRecord } from "./call_record.ts";
 
--- a/packages/cli/src/operator/configuration_reader.ts
+++ b/packages/cli/src/operator/configuration_reader.ts
@@ -18,10 +18,7 @@
   EMPTY_CONFIGURATION,
 } from "@briarhill/control/configuration/configuration_state";
 import { readNewestSnapshot } from "@briarhill/node/configuration/snapshot_reader";
-import type {
-  LogRecord,
-  LogService,
-} from "@briarhill/ports/log/log_service";
+import type { LogRecord, LogService } from "@briarhill/ports/log/log_service";
 
 /** Reads the configuration log up to its end and on. */
 export class ConfigurationReader {
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -66,7 +66,7 @@
         ] as unknown as Record<string, string>,
         setHost: false,
       });
-      const failure = this.#watch(outgoing, exchange);
+      const failure = this.#startWatch(outgoing, exchange);
       outgoing.on("response", (response: IncomingMessage) => {
         failure.clear();
         // Without a listener, a reset after the head would end the process.
@@ -111,7 +111,7 @@
   }
 
   /** Ends an exchange whose connection or head takes too long, and remembers why. */
-  #watch(outgoing: ClientRequest, exchange: HttpRequest): ExchangeWatch {
+  #startWatch(outgoing: ClientRequest, exchange: HttpRequest): ExchangeWatch {
     const { port, connectTimeoutMs } = this.#options;
     let isConnected = false;
     let fault: PortFault | undefined;
@@ -126,12 +126,9 @@
     outgoing.on("close", () => {
       exchange.signal?.removeEventListener("abort", abort);
     });
-    outgoing.on("socket", (socket: Socket) => {
-      const onConnected = () => {
-        isConnected = true;
-        clearTimeout(connecting);
-      };
-      socket.connecting ? socket.once("connect", onConnected) : onConnected();
+    onConnected(outgoing, () => {
+      isConnected = true;
+      clearTimeout(connecting);
     });
     if (exchange.signal?.aborted) {
       end("cancelled");
@@ -155,6 +152,13 @@
   }
 }
 
+/** Calls back once a request has a connection: a kept one at once, else when it is open. */
+function onConnected(outgoing: ClientRequest, callback: () => void): void {
+  outgoing.on("socket", (socket: Socket) => {
+    socket.connecting ? socket.once("connect", callback) : callback();
+  });
+}
+
 interface ExchangeWatch {
   readonly clear: () => void;
   readonly createError: (error: unknown) => PortError;
@@ -203,7 +207,7 @@
     stream.on("close", () => {
       clearTimeout(timer);
       if (stream.complete && !isLate) {
-        resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+        resolve(Buffer.concat(chunks));
         return;
       }
       const { port, operation } = reading;
--- a/packages/edge/src/calls/call_forwarder.ts
+++ b/packages/edge/src/calls/call_forwarder.ts
@@ -11,7 +11,8 @@
 import type { Buffer } from "node:buffer";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { EndpointSender } from "./endpoint_sender.ts";
-import { type CallOutcome, ForwardedCall } from "./forwarded_call.ts";
+import type { CallOutcome } from "./call_outcome.ts";
+import { ForwardedCall } from "./forwarded_call.ts";
 
 /** The share of a route's objective after which another endpoint is tried. */
 const HEDGE_SHARE = 0.5;
--- a/packages/edge/src/calls/caller_reply.ts
+++ b/packages/edge/src/calls/caller_reply.ts
@@ -20,7 +20,7 @@
  *
  * @example
  * ```ts
- * declare const response: ServerResponse;
+ * declare const response: import("node:http").ServerResponse;
  *
  * writeOwnReply(response, { status: 404, title: "no route" });
  * ```
@@ -59,7 +59,7 @@
  *
  * @example
  * ```ts
- * declare const response: ServerResponse;
+ * declare const response: import("node:http").ServerResponse;
  *
  * writeWhole(response, { status: 200, headers: [], body: Buffer.from("") });
  * ```
--- a/packages/edge/src/calls/endpoint_sender.ts
+++ b/packages/edge/src/calls/endpoint_sender.ts
@@ -125,7 +125,7 @@
    * @param call - The call.
    * @param timeoutMs - The longest wait for the answer, in milliseconds.
    */
-  async control(
+  async callControl(
     endpoint: EndpointStructure,
     call: {
       readonly method: string;
--- a/packages/edge/src/calls/ingress.ts
+++ b/packages/edge/src/calls/ingress.ts
@@ -77,7 +77,7 @@
     // A caller that goes away shows as a close.
     response.on("error", () => undefined);
     try {
-      await this.#dispatch(request, response);
+      await this.#handleCall(request, response);
     } catch (error) {
       this.#handleError(error, request, response);
     } finally {
@@ -85,7 +85,7 @@
     }
   }
 
-  async #dispatch(
+  async #handleCall(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
@@ -115,28 +115,28 @@
     }
     if (call.kind !== "routed") {
       request.resume();
-      await this.#answerLotCall(call, exchange, lotRoutes);
+      await this.#handleLotCall(call, exchange, lotRoutes);
       return;
     }
-    await this.#answerRouted(exchange, table);
+    await this.#handleRouted(exchange, table);
   }
 
-  async #answerLotCall(
+  async #handleLotCall(
     call: Exclude<IngressCall, { kind: "ready" | "routed" }>,
     exchange: CallerExchange,
     lotRoutes: LotRoutes,
   ): Promise<void> {
     switch (call.kind) {
       case "results":
-        return await lotRoutes.answerResults(exchange, call);
+        return await lotRoutes.handleResults(exchange, call);
       case "end":
-        return await lotRoutes.answerEnd(exchange, call.lot);
+        return await lotRoutes.handleEnd(exchange, call.lot);
       case "sample-body":
-        return await lotRoutes.answerBody(exchange, call);
+        return await lotRoutes.handleBody(exchange, call);
     }
   }
 
-  async #answerRouted(
+  async #handleRouted(
     exchange: CallerExchange,
     table: RouteTable,
   ): Promise<void> {
@@ -163,8 +163,8 @@
     }
     const routed = { ...exchange, route, body };
     await (route.kind === "rollout"
-      ? lotRoutes.answerHandIn(routed)
-      : liveCalls.answer(routed));
+      ? lotRoutes.handleHandIn(routed)
+      : liveCalls.handle(routed));
   }
 
   #handleError(
--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -8,6 +8,7 @@
   encodeForwardedHeaders,
   encodeReturnedHeaders,
 } from "@briarhill/platform/ingress/request_head";
+import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { EndpointSender } from "./endpoint_sender.ts";
 import type { CallForwarder, ForwardReport } from "./call_forwarder.ts";
 import { writeOwnReply, writeWhole } from "./caller_reply.ts";
@@ -28,7 +29,6 @@
   readonly logger: Logger;
   readonly forwarder: CallForwarder;
   readonly sender: EndpointSender;
-  readonly onAnswered: (customer: string, tookMs: number) => void;
 }
 
 /** Answers live callers from endpoints. */
@@ -44,22 +44,22 @@
    *
    * @param exchange - The request.
    */
-  async answer(exchange: RoutedExchange): Promise<void> {
+  async handle(exchange: RoutedExchange): Promise<void> {
     const gone = new AbortController();
     exchange.response.on("close", () => gone.abort());
     if (exchange.response.destroyed) {
       gone.abort();
     }
     await (exchange.route.kind === "stream"
-      ? this.#answerStream(exchange, gone.signal)
-      : this.#answerWhole(exchange, gone.signal));
+      ? this.#handleStream(exchange, gone.signal)
+      : this.#handleWhole(exchange, gone.signal));
   }
 
-  async #answerWhole(
+  async #handleWhole(
     exchange: RoutedExchange,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock, forwarder, onAnswered } = this.#options;
+    const { clock, forwarder } = this.#options;
     const { request, response, route, head, arrivedAtMs } = exchange;
     const callerDeadlineMs = arrivedAtMs + head.deadlineMs;
     const report = await forwarder.forward({
@@ -91,7 +91,6 @@
       this.#writeFailure(exchange, outcome);
     }
     const tookMs = clock.getMonotonicMs() - arrivedAtMs;
-    onAnswered(route.name, tookMs);
     this.#logReport(exchange, report, tookMs);
   }
 
@@ -131,13 +130,12 @@
     });
   }
 
-  async #answerStream(
+  async #handleStream(
     exchange: RoutedExchange,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock, forwarder, sender } = this.#options;
-    const { request, response, route, head, arrivedAtMs } = exchange;
-    const deadlineMs = arrivedAtMs + head.deadlineMs;
+    const { clock, forwarder } = this.#options;
+    const { route, head, arrivedAtMs } = exchange;
     const tried = new Set<string>();
     let outcome: StreamOutcome = "not-run";
     while (
@@ -149,23 +147,7 @@
         break;
       }
       tried.add(endpoint.id);
-      const leftMs = Math.max(1, deadlineMs - clock.getMonotonicMs());
-      outcome = await streamAnswer(response, {
-        sender,
-        request: {
-          endpoint,
-          attemptId: head.attemptId,
-          method: request.method ?? "GET",
-          path: request.url ?? "/",
-          headers: encodeForwardedHeaders(request.rawHeaders, {
-            endpoint: endpoint.id,
-            deadlineMs: leftMs,
-          }),
-          body: exchange.body,
-          timeoutMs: Math.min(leftMs, route.timeoutMs),
-          signal,
-        },
-      });
+      outcome = await this.#streamOnce(exchange, endpoint, signal);
     }
     if (outcome === "not-run" || outcome === "unknown") {
       const kind = outcome === "not-run" ? "refused" : "failed";
@@ -179,4 +161,30 @@
       tookMs: Math.round(clock.getMonotonicMs() - arrivedAtMs),
     });
   }
+
+  #streamOnce(
+    exchange: RoutedExchange,
+    endpoint: EndpointStructure,
+    signal: AbortSignal,
+  ): Promise<StreamOutcome> {
+    const { request, response, route, head, arrivedAtMs } = exchange;
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const leftMs = Math.max(1, arrivedAtMs + head.deadlineMs - nowMs);
+    return streamAnswer(response, {
+      sender: this.#options.sender,
+      request: {
+        endpoint,
+        attemptId: head.attemptId,
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        headers: encodeForwardedHeaders(request.rawHeaders, {
+          endpoint: endpoint.id,
+          deadlineMs: leftMs,
+        }),
+        body: exchange.body,
+        timeoutMs: Math.min(leftMs, route.timeoutMs),
+        signal,
+      },
+    });
+  }
 }
--- a/packages/edge/src/calls/request_body.ts
+++ b/packages/edge/src/calls/request_body.ts
@@ -12,7 +12,7 @@
  *
  * @example
  * ```ts
- * declare const request: IncomingMessage;
+ * declare const request: import("node:http").IncomingMessage;
  *
  * const body = await readRequestBody(request, 1_000_000);
  * ```
--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -19,7 +19,7 @@
  * ```ts
  * declare const sender: EndpointSender;
  * declare const request: Parameters<EndpointSender["run"]>[0];
- * declare const response: ServerResponse;
+ * declare const response: import("node:http").ServerResponse;
  *
  * const outcome = await streamAnswer(response, { sender, request });
  * ```
@@ -39,7 +39,7 @@
         head.stream.resume();
         return "not-run";
       }
-      return await pipeHead(response, head);
+      return await streamHead(response, head);
     });
   } catch (error) {
     return error instanceof PortError && error.outcome === "not-run"
@@ -48,7 +48,7 @@
   }
 }
 
-function pipeHead(
+function streamHead(
   response: ServerResponse,
   head: HttpHead,
 ): Promise<StreamOutcome> {
--- /dev/null
+++ b/packages/edge/src/lots/generation_reader.ts
@@ -0,0 +1,113 @@
+/**
+ * Reads the events of one run of a sample.
+ * @module
+ */
+import type { PortError } from "@briarhill/common/errors/errors";
+import { createPortError } from "@briarhill/common/errors/port_fault";
+import type { Clock, Timer } from "@briarhill/common/time/clock";
+import { EventDecoder } from "@briarhill/platform/engine/event_decoder";
+import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
+import type { LotRequest } from "@briarhill/rollout/ledger/lot_request";
+import type { IncomingMessage } from "node:http";
+import type { GenerationReport } from "./generation_report.ts";
+
+/** The longest pause of a stream, in milliseconds; above a load of weights on a slow engine. */
+export const SILENCE_MS = 2_500;
+
+/** What a reader needs. */
+export interface GenerationReaderOptions {
+  readonly clock: Clock;
+  readonly lot: LotRequest;
+  readonly task: SampleTask;
+  readonly stream: IncomingMessage;
+  readonly signal: AbortSignal;
+}
+
+/** Reads the events of one run into its task; what came before a break counts. */
+export class GenerationReader {
+  readonly #options: GenerationReaderOptions;
+  readonly #decoder = new EventDecoder();
+  #silence: Timer | undefined;
+  #early: GenerationReport | undefined;
+
+  constructor(options: GenerationReaderOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Reads events until the stream ends. One that goes silent is a `PortError`.
+   *
+   * @param headVersion - The version of the weights that the answer's head names.
+   */
+  readEvents(headVersion: number): Promise<GenerationReport> {
+    const { stream } = this.#options;
+    let version = headVersion;
+    this.#startSilence();
+    stream.on("data", (bytes: Buffer) => {
+      this.#startSilence();
+      version = this.#addBytes(bytes, version);
+    });
+    return new Promise((resolve, reject) => {
+      stream.on("close", () => {
+        this.#silence?.cancel();
+        const report = this.#createReport();
+        report.reason === "silent"
+          ? reject(this.#createSilentError())
+          : resolve(report);
+      });
+    });
+  }
+
+  /** Returns the version after the last event. */
+  #addBytes(bytes: Buffer, headVersion: number): number {
+    const { task, lot } = this.#options;
+    let version = headVersion;
+    for (const event of this.#decoder.addBytes(bytes)) {
+      version = event.version ?? version;
+      if (this.#early !== undefined) {
+        break;
+      }
+      const verdict = task.addEvent({ ...event, version }, lot.minVersion);
+      if (verdict !== "taken") {
+        const end = verdict === "outdated" ? "outdated" : "broken";
+        this.#close({ end, reason: verdict });
+      }
+    }
+    return version;
+  }
+
+  #startSilence(): void {
+    this.#silence?.cancel();
+    this.#silence = this.#options.clock.setTimer(
+      SILENCE_MS,
+      () => this.#close({ end: "broken", reason: "silent" }),
+    );
+  }
+
+  #close(report: GenerationReport): void {
+    this.#early ??= report;
+    this.#options.stream.destroy();
+  }
+
+  #createReport(): GenerationReport {
+    const { stream, signal } = this.#options;
+    if (signal.aborted) {
+      return { end: "cancelled", reason: "cancelled" };
+    }
+    if (this.#early !== undefined) {
+      return this.#early;
+    }
+    return stream.complete && !this.#decoder.hasPartialEvent
+      ? { end: "finished", reason: "" }
+      : { end: "broken", reason: "cut" };
+  }
+
+  #createSilentError(): PortError {
+    return createPortError("the engine's stream has gone silent", {
+      port: "endpoint",
+      operation: this.#options.task.request.path,
+      fault: "silent",
+      outcome: "unknown",
+    });
+  }
+}
--- a/packages/edge/src/lots/lot_desk.ts
+++ b/packages/edge/src/lots/lot_desk.ts
@@ -44,7 +44,7 @@
    * @param lot - The lot.
    * @param deadlineMs - When to give up, on the monotonic clock.
    */
-  async acceptLot(lot: LotRequest, deadlineMs: number): Promise<AppendOutcome> {
+  async admitLot(lot: LotRequest, deadlineMs: number): Promise<AppendOutcome> {
     const { partitions, appender, maxRecordBytes } = this.#options;
     const number = partitions.getNumber(lot.id);
     if (partitions.follow(number).ledger.getLot(lot.id) !== undefined) {
@@ -63,7 +63,7 @@
    * @param id - The lot.
    * @param deadlineMs - When to give up, on the monotonic clock.
    */
-  async endLot(
+  async closeLot(
     id: LotId,
     deadlineMs: number,
   ): Promise<AppendOutcome | "missing"> {
--- a/packages/edge/src/lots/lot_owner.ts
+++ b/packages/edge/src/lots/lot_owner.ts
@@ -53,8 +53,8 @@
 
   /** Joins the group and begins to run lots. */
   start(): void {
-    void this.#keepJoined();
-    void this.#keepAdvancing();
+    void this.#runMembership();
+    void this.#runAdvancing();
   }
 
   /** Cancels all runs and leaves the group, so that others go on at once. */
@@ -70,7 +70,7 @@
     }
   }
 
-  async #keepJoined(): Promise<void> {
+  async #runMembership(): Promise<void> {
     const { clock, log, logger } = this.#options;
     const { signal } = this.#stopping;
     while (!signal.aborted) {
@@ -122,7 +122,7 @@
     }
   }
 
-  async #keepAdvancing(): Promise<void> {
+  async #runAdvancing(): Promise<void> {
     const { clock } = this.#options;
     const { signal } = this.#stopping;
     while (!signal.aborted) {
--- a/packages/edge/src/lots/lot_routes.ts
+++ b/packages/edge/src/lots/lot_routes.ts
@@ -44,7 +44,7 @@
    *
    * @param exchange - The request.
    */
-  async answerHandIn(exchange: RoutedExchange): Promise<void> {
+  async handleHandIn(exchange: RoutedExchange): Promise<void> {
     const { clock, desk, logger } = this.#options;
     const { request, response, head, arrivedAtMs, body } = exchange;
     const lot = decodeLot(body, {
@@ -54,7 +54,7 @@
       acceptedAtMs: clock.getWallMs(),
     });
     const boundMs = Math.min(ACCEPT_BOUND_MS, head.deadlineMs - RETURN_MS);
-    const outcome = await desk.acceptLot(lot, arrivedAtMs + boundMs);
+    const outcome = await desk.admitLot(lot, arrivedAtMs + boundMs);
     logger.info("lot-handed-in", {
       lot: lot.id,
       outcome,
@@ -79,7 +79,7 @@
    * @param exchange - The request.
    * @param read - The lot, and the first position wanted.
    */
-  async answerResults(
+  async handleResults(
     exchange: CallerExchange,
     read: { readonly lot: string; readonly after: number },
   ): Promise<void> {
@@ -110,11 +110,11 @@
    * @param exchange - The request.
    * @param id - The lot.
    */
-  async answerEnd(exchange: CallerExchange, id: string): Promise<void> {
+  async handleEnd(exchange: CallerExchange, id: string): Promise<void> {
     const { clock, desk, logger } = this.#options;
     const { arrivedAtMs, response, head } = exchange;
     const boundMs = Math.min(END_BOUND_MS, head.deadlineMs - RETURN_MS);
-    const outcome = await desk.endLot(id, arrivedAtMs + boundMs);
+    const outcome = await desk.closeLot(id, arrivedAtMs + boundMs);
     logger.info("lot-ended", {
       lot: id,
       outcome,
@@ -137,7 +137,7 @@
    * @param exchange - The request.
    * @param read - The lot and the sample.
    */
-  async answerBody(
+  async handleBody(
     exchange: CallerExchange,
     read: { readonly lot: string; readonly sample: string },
   ): Promise<void> {
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -17,7 +17,8 @@
 import type { EndpointSender } from "../calls/endpoint_sender.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { ResultSettler } from "./result_settler.ts";
-import { type GenerationReport, runGeneration } from "./sample_generation.ts";
+import type { GenerationReport } from "./generation_report.ts";
+import { runGeneration } from "./sample_generation.ts";
 import type { SampleScorer } from "./sample_scorer.ts";
 
 /** The pause after a run that an engine refused, in milliseconds. */
@@ -84,7 +85,7 @@
       return;
     }
     if (clock.getWallMs() > request.acceptedAtMs + route.retentionMs) {
-      this.#abandonAll();
+      this.#dropAll();
       return;
     }
     const nowMs = clock.getMonotonicMs();
@@ -167,11 +168,11 @@
       return;
     }
     if (end === "impossible") {
-      this.#abandon(task, "impossible");
+      this.#dropSample(task, "impossible");
       return;
     }
     if (end === "failed" && ++task.failures >= route.maxAttempts) {
-      this.#abandon(task, "failed");
+      this.#dropSample(task, "failed");
       return;
     }
     if (end === "outdated" || reason === "gap") {
@@ -216,7 +217,7 @@
     }
     task.scoringFailures += failures;
     if (task.scoringFailures >= route.maxAttempts) {
-      this.#abandon(task, "unscored");
+      this.#dropSample(task, "unscored");
       return;
     }
     task.phase = "unscored";
@@ -228,7 +229,7 @@
     this.#options.settler.addResult(result);
   }
 
-  #abandon(task: SampleTask, reason: string): void {
+  #dropSample(task: SampleTask, reason: string): void {
     this.#options.logger.warn("sample-abandoned", {
       lot: this.#work.lot.id,
       sample: task.request.id,
@@ -239,9 +240,9 @@
     this.#settle(task, task.toAbandoned());
   }
 
-  #abandonAll(): void {
+  #dropAll(): void {
     for (const task of this.#work.listOpen()) {
-      this.#abandon(task, "retention-passed");
+      this.#dropSample(task, "retention-passed");
     }
     this.stop();
   }
--- /dev/null
+++ b/packages/edge/src/node/store_access.ts
@@ -0,0 +1,41 @@
+/**
+ * How a host reaches the shared log.
+ * @module
+ */
+import type { SharedLog } from "@briarhill/common/log/shared_log";
+import { StoreLog } from "@briarhill/platform/store/store_log";
+import { PeerList } from "../peers/peer_list.ts";
+import { RelayedTransport } from "../peers/relayed_transport.ts";
+import { RelayListener } from "../peers/relay_listener.ts";
+import type { HostContext } from "./host_context.ts";
+
+/** How a host reaches the shared log, and helps others to. */
+export interface StoreAccess {
+  readonly log: SharedLog;
+  readonly peers: PeerList;
+  readonly relay: RelayListener;
+}
+
+/**
+ * Creates the access to the shared log.
+ *
+ * @example
+ * ```ts
+ * declare const context: HostContext;
+ *
+ * const { log } = createStoreAccess(context);
+ * ```
+ * @param context - What all parts share.
+ */
+export function createStoreAccess(context: HostContext): StoreAccess {
+  const { settings, clock, logger } = context;
+  const transport: RelayedTransport = new RelayedTransport({
+    store: settings.store,
+    clock,
+    logger,
+    listPeers: () => peers.listPeers(),
+  });
+  const log = new StoreLog(transport);
+  const peers: PeerList = new PeerList({ ...context, log });
+  return { log, peers, relay: new RelayListener(transport, logger) };
+}
--- a/packages/edge/src/observe/log_writer.ts
+++ b/packages/edge/src/observe/log_writer.ts
@@ -30,11 +30,11 @@
     this.#bytes += line.length;
     if (!this.#isWriting) {
       this.#isWriting = true;
-      setImmediate(() => this.#flush());
+      setImmediate(() => this.#writeWaiting());
     }
   }
 
-  #flush(): void {
+  #writeWaiting(): void {
     if (this.#lines.length === 0) {
       this.#isWriting = false;
       return;
@@ -58,7 +58,7 @@
         return;
       }
       // A reader that has gone away can't be told; the next lines try again.
-      this.#flush();
+      this.#writeWaiting();
     });
   }
 }
--- a/packages/edge/src/peers/relayed_transport.ts
+++ b/packages/edge/src/peers/relayed_transport.ts
@@ -156,9 +156,10 @@
 
   #setAway(isAway: boolean, reason: string): void {
     if (isAway !== this.#isAway) {
-      this.#options.logger.warn(isAway ? "store-lost" : "store-regained", {
-        reason,
-      });
+      const { logger } = this.#options;
+      isAway
+        ? logger.warn("store-lost", { reason })
+        : logger.warn("store-regained", { reason });
     }
     this.#isAway = isAway;
   }
--- a/packages/edge/src/weights/lease_keeper.ts
+++ b/packages/edge/src/weights/lease_keeper.ts
@@ -123,9 +123,11 @@
     }
     const { isHolder } = this.#lease;
     if (isHolder !== this.#wasHolder) {
-      this.#options.logger.info(isHolder ? "lease-gained" : "lease-lost", {
-        token: this.#lease.token,
-      });
+      const { logger } = this.#options;
+      const { token } = this.#lease;
+      isHolder
+        ? logger.info("lease-gained", { token })
+        : logger.info("lease-lost", { token });
       this.#wasHolder = isHolder;
     }
   }
--- a/packages/edge/src/weights/order_keeper.ts
+++ b/packages/edge/src/weights/order_keeper.ts
@@ -76,7 +76,7 @@
     const { signal } = this.#stopping;
     while (!signal.aborted) {
       if (lease.canOrder()) {
-        this.#decideOrders().forEach((order) => void this.#carryOut(order));
+        this.#decideOrders().forEach((order) => void this.#applyOrder(order));
       }
       await clock.sleep(CHECK_EVERY_MS, signal);
     }
@@ -121,7 +121,7 @@
     );
   }
 
-  async #carryOut(order: LoadOrder): Promise<void> {
+  async #applyOrder(order: LoadOrder): Promise<void> {
     const { logger, directory, clock } = this.#options;
     const engine = directory.getEndpoint(order.engine);
     if (engine === undefined) {
@@ -165,7 +165,11 @@
       orderCount,
     });
     try {
-      const { status } = await sender.control(engine, call, CALL_TIMEOUT_MS);
+      const { status } = await sender.callControl(
+        engine,
+        call,
+        CALL_TIMEOUT_MS,
+      );
       const reply = decodeOrderReply(status);
       logger.info("engine-ordered", {
         ...order,
@@ -208,7 +212,7 @@
   }
 
   async #fetchReport(engine: EndpointStructure): Promise<EngineReport> {
-    const answer = await this.#options.sender.control(
+    const answer = await this.#options.sender.callControl(
       engine,
       encodeReportCall(engine.id),
       CALL_TIMEOUT_MS,
--- a/packages/node/src/configuration/snapshot_reader.ts
+++ b/packages/node/src/configuration/snapshot_reader.ts
@@ -7,10 +7,7 @@
   decodeNewestSnapshot,
   SNAPSHOT_STREAM,
 } from "@briarhill/control/snapshots/snapshot";
-import type {
-  LogRecord,
-  LogService,
-} from "@briarhill/ports/log/log_service";
+import type { LogRecord, LogService } from "@briarhill/ports/log/log_service";
 
 const READ_WINDOW_RECORDS = 64;
 
--- a/packages/platform/src/ingress/request_head.ts
+++ b/packages/platform/src/ingress/request_head.ts
@@ -81,7 +81,7 @@
   head: ForwardingHead,
 ): readonly string[] {
   return [
-    ...filterHeaders(rawHeaders, NOT_FORWARDED),
+    ...selectHeaders(rawHeaders, NOT_FORWARDED),
     DEADLINE_MS,
     String(Math.max(1, Math.floor(head.deadlineMs))),
     EXPECTED_INSTANCE,
@@ -112,18 +112,18 @@
 export function encodeReturnedHeaders(
   rawHeaders: readonly string[],
 ): readonly string[] {
-  return filterHeaders(rawHeaders, NOT_RETURNED);
+  return selectHeaders(rawHeaders, NOT_RETURNED);
 }
 
-function filterHeaders(
+function selectHeaders(
   rawHeaders: readonly string[],
   dropped: ReadonlySet<string>,
 ): readonly string[] {
   const kept: string[] = [];
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    const name = rawHeaders[index]!;
+    const [name = "", value = ""] = rawHeaders.slice(index, index + 2);
     if (!dropped.has(name.toLowerCase())) {
-      kept.push(name, rawHeaders[index + 1]!);
+      kept.push(name, value);
     }
   }
   return kept;
--- a/packages/platform/src/records/field_reader.ts
+++ b/packages/platform/src/records/field_reader.ts
@@ -118,6 +118,19 @@
     );
   }
 
+  /**
+   * Returns the rows of a list of lists; a missing field is an empty list.
+   *
+   * @param name - The field.
+   */
+  listRows(name: string): readonly (readonly unknown[])[] {
+    const found = this.#value[name] ?? [];
+    if (!Array.isArray(found) || !found.every(Array.isArray)) {
+      throw this.#createError(name, "a list of lists");
+    }
+    return found;
+  }
+
   /**
    * Returns an object, or undefined where the field is missing.
    *
--- a/packages/platform/src/store/store_log.ts
+++ b/packages/platform/src/store/store_log.ts
@@ -4,7 +4,6 @@
  */
 import {
   AppendConflictError,
-  InputError,
   TrimmedLogError,
 } from "@briarhill/common/errors/errors";
 import { createPortError } from "@briarhill/common/errors/port_fault";
@@ -29,6 +28,7 @@
   LOG_READ_PATH,
 } from "../names/paths.ts";
 import { KEYED_PREFIX } from "../names/topics.ts";
+import { FieldReader } from "../records/field_reader.ts";
 import { decodeRead, encodeRecords } from "./log_frames.ts";
 import type { StoreTransport } from "./store_transport.ts";
 
@@ -63,14 +63,14 @@
           operation: "append",
           fault: "rejected",
           outcome: "not-run",
-          endOffset: getNumber(parseObject(answer), "endOffset"),
+          endOffset: parseAnswer(answer).getInteger("endOffset"),
         },
       });
     }
-    const receipt = parseObject(throwIfRefused(answer, "append"));
+    const receipt = parseAnswer(throwIfRefused(answer, "append"));
     return {
-      offset: getNumber(receipt, "offset"),
-      endOffset: getNumber(receipt, "endOffset"),
+      offset: receipt.getInteger("offset"),
+      endOffset: receipt.getInteger("endOffset"),
     };
   }
 
@@ -94,7 +94,7 @@
           operation: "read",
           fault: "rejected",
           outcome: "not-run",
-          firstOffset: getNumber(parseObject(answer), "first"),
+          firstOffset: parseAnswer(answer).getInteger("first"),
         },
       });
     }
@@ -116,13 +116,13 @@
         path: `${LOG_NEWEST_PATH}?${formatPlace(place)}${from}`,
         mayRelay: true,
       });
-      const page = parseObject(throwIfRefused(answer, "newest"));
-      const items = getList(page, "items").map(decodeItem);
+      const page = parseAnswer(throwIfRefused(answer, "newest"));
+      const items = page.listObjects("items").map(decodeItem);
       records.push(...items);
-      endOffset = getNumber(page, "endOffset");
+      endOffset = page.getInteger("endOffset");
       nextOffset ??= endOffset;
       after = items.at(-1)?.key;
-      hasMore = page["hasMore"] === true && after !== undefined;
+      hasMore = page.isTrue("hasMore") && after !== undefined;
     }
     records.sort((a, b) => a.offset - b.offset);
     return { records, nextOffset: nextOffset ?? 0, endOffset };
@@ -137,10 +137,13 @@
       body: Buffer.from(JSON.stringify(membership)),
       mayRelay: true,
     });
-    const assignment = parseObject(throwIfRefused(answer, "join"));
+    const assignment = parseAnswer(throwIfRefused(answer, "join"));
     return {
-      generation: getNumber(assignment, "generation"),
-      partitions: getList(assignment, "parts").map(decodePlace),
+      generation: assignment.getInteger("generation"),
+      partitions: assignment.listRows("parts").map(([topic, partition]) => ({
+        topic: String(topic),
+        partition: Number(partition),
+      })),
     };
   }
 
@@ -160,15 +163,9 @@
       path: `${LOG_OWNERS_PATH}?group=${encodeURIComponent(group)}`,
       mayRelay: true,
     });
-    const value: unknown = JSON.parse(
-      throwIfRefused(answer, "owners").body.toString(),
-    );
-    const rows = Array.isArray(value)
-      ? value
-      : getList(value as Record<string, unknown>, "parts");
-    const members = rows.map((row: unknown) =>
-      Array.isArray(row) ? String(row[2]) : ""
-    );
+    // A row holds topic, partition, member and offset.
+    const members = parseAnswer(throwIfRefused(answer, "owners"))
+      .listRows("parts").map((row) => String(row[2] ?? ""));
     return [...new Set(members)].filter((member) => member !== "");
   }
 
@@ -209,47 +206,14 @@
   });
 }
 
-function parseObject({ body }: HttpAnswer): Record<string, unknown> {
-  const value: unknown = JSON.parse(body.toString());
-  if (typeof value !== "object" || value === null) {
-    throw new InputError("an answer of the store is no object");
-  }
-  return value as Record<string, unknown>;
+function parseAnswer({ body }: HttpAnswer): FieldReader {
+  return FieldReader.parse("an answer of the store", body);
 }
 
-function getNumber(value: Record<string, unknown>, name: string): number {
-  const found = value[name];
-  if (typeof found !== "number") {
-    throw new InputError(
-      `"${name}" is ${JSON.stringify(found)}, expected a number`,
-    );
-  }
-  return found;
-}
-
-function getList(
-  value: Record<string, unknown>,
-  name: string,
-): readonly unknown[] {
-  const found = value[name];
-  if (!Array.isArray(found)) {
-    throw new InputError(
-      `"${name}" is ${JSON.stringify(found)}, expected a list`,
-    );
-  }
-  return found;
-}
-
-function decodeItem(item: unknown): LogRecord {
-  const { key, value, offset } = item as Record<string, unknown>;
+function decodeItem(item: FieldReader): LogRecord {
   return {
-    key: String(key),
-    value: Buffer.from(String(value), "base64"),
-    offset: Number(offset),
+    key: item.getText("key"),
+    value: Buffer.from(item.getText("value", ""), "base64"),
+    offset: item.getInteger("offset"),
   };
 }
-
-function decodePlace(row: unknown): LogPartition {
-  const [topic, partition] = row as readonly unknown[];
-  return { topic: String(topic), partition: Number(partition) };
-}
--- /dev/null
+++ b/packages/rollout/test/dispatch/dispatch_test.ts
@@ -0,0 +1,132 @@
+import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { listEngines } from "../../src/dispatch/engine_choice.ts";
+import { LotWork } from "../../src/dispatch/lot_work.ts";
+import { SampleTask } from "../../src/dispatch/sample_task.ts";
+import { LedgerLot } from "../../src/ledger/ledger_lot.ts";
+import type { SampleRequest } from "../../src/ledger/lot_request.ts";
+
+function createSample(
+  id: string,
+  group: string,
+  expectedTokens: number,
+): SampleRequest {
+  return { id, path: "/", headers: [], body: "", group, expectedTokens };
+}
+
+function createWork(samples: readonly SampleRequest[]): LotWork {
+  return new LotWork(
+    new LedgerLot({
+      id: "lot",
+      host: "h",
+      path: "/",
+      model: "m",
+      minVersion: 1,
+      wantedGroups: 1,
+      acceptedAtMs: 0,
+      samples,
+    }),
+  );
+}
+
+describe("LotWork.listWaiting", () => {
+  it("works on groups one after the other, the one with the longest sample first", () => {
+    const work = createWork([
+      createSample("a1", "a", 10),
+      createSample("b1", "b", 5),
+      createSample("a2", "a", 20),
+      createSample("b2", "b", 90),
+    ]);
+    assert.deepEqual(
+      work.listWaiting(0).map(({ request }) => request.id),
+      ["b2", "b1", "a2", "a1"],
+    );
+  });
+
+  it("leaves out what runs, is settled or has to pause", () => {
+    const work = createWork(
+      ["a", "b", "c"].map((id) => createSample(id, "g", 1)),
+    );
+    const [a, b] = work.listWaiting(0);
+    assert.ok(a !== undefined && b !== undefined);
+    a.phase = "generating";
+    b.notBeforeMs = 50;
+    assert.equal(work.listWaiting(0).length, 1);
+    assert.equal(work.listWaiting(50).length, 2);
+    work.lot.settleResults([b.toResult("s")]);
+    assert.equal(work.listWaiting(50).length, 1);
+  });
+});
+
+describe("SampleTask.addEvent", () => {
+  const event = { id: 1, data: "x", version: 2 };
+
+  it("joins events and collects their versions", () => {
+    const task = new SampleTask(createSample("a", "g", 1));
+    task.addEvent(event, 1);
+    task.addEvent({ ...event, id: 2, version: 3 }, 1);
+    const { text, versions } = task.toResult("s");
+    assert.equal(text, "x\nx");
+    assert.deepEqual(versions, [2, 3]);
+  });
+
+  it("refuses gaps, repeats and outdated versions", () => {
+    const task = new SampleTask(createSample("a", "g", 1));
+    assert.equal(task.addEvent(event, 3), "outdated");
+    assert.equal(task.addEvent(event, 2), "taken");
+    assert.equal(task.addEvent(event, 2), "gap");
+    assert.equal(task.addEvent({ ...event, id: 3 }, 2), "gap");
+    assert.equal(task.eventCount, 1);
+  });
+});
+
+function createEngine(id: string, version: number): EndpointStructure {
+  return {
+    id,
+    service: "s",
+    address: { hostname: "10.0.0.1", port: 80 },
+    failureDomain: "a",
+    slots: 2,
+    isLeaving: false,
+    coldMs: 0,
+    startedAtMs: 0,
+    models: new Map([["m", version]]),
+    beat: 0,
+  };
+}
+
+describe("listEngines", () => {
+  const engines = [createEngine("a", 2), createEngine("b", 2)];
+  const lagging = createEngine("c", 1);
+
+  function testEngines(
+    name: string,
+    changes: Partial<Parameters<typeof listEngines>[0]>,
+    expected: readonly string[],
+  ): void {
+    it(name, () => {
+      const chosen = listEngines({
+        engines: [...engines, lagging],
+        model: "m",
+        minVersion: 2,
+        home: new Set(["a"]),
+        getRequests: () => 0,
+        isPaused: () => false,
+        ...changes,
+      });
+      assert.deepEqual(chosen.map(({ id }) => id), expected);
+    });
+  }
+
+  testEngines("takes the model's own engines", {}, ["a"]);
+  testEngines("takes others where no own one can serve", {
+    isPaused: (id) => id === "a",
+  }, ["b"]);
+  testEngines("never takes one with weights that are too old", {
+    home: new Set(["c"]),
+  }, ["a", "b"]);
+  testEngines("waits while the own engines are full", {
+    getRequests: () => 3,
+  }, []);
+});
--- /dev/null
+++ b/packages/rollout/test/ledger/lot_ledger_test.ts
@@ -0,0 +1,137 @@
+import type { LogRecord } from "@briarhill/common/log/shared_log";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { LotLedger } from "../../src/ledger/lot_ledger.ts";
+import {
+  encodeEnd,
+  encodeLot,
+  encodeResults,
+} from "../../src/ledger/lot_record.ts";
+import type { LotRequest, SampleResult } from "../../src/ledger/lot_request.ts";
+
+const SAMPLES = ["a", "b", "c", "d"];
+
+function createLot(id = "lot", changes: Partial<LotRequest> = {}): LotRequest {
+  return {
+    id,
+    host: "h",
+    path: "/p/",
+    model: "m",
+    minVersion: 1,
+    wantedGroups: 1,
+    acceptedAtMs: 0,
+    samples: SAMPLES.map((sample) => ({
+      id: sample,
+      path: "/p/x",
+      headers: [],
+      body: "",
+      group: "g",
+      expectedTokens: 1,
+    })),
+    ...changes,
+  };
+}
+
+function createResult(sample: string, text: string): SampleResult {
+  return { sample, state: "completed", text, versions: [1], score: "s" };
+}
+
+/** Numbers records as the log does. */
+function createLog(
+  records: readonly { readonly key?: string; readonly value: Buffer }[],
+): readonly LogRecord[] {
+  return records.map(({ key = "", value }, offset) => ({ key, value, offset }));
+}
+
+function applyAll(records: readonly LogRecord[]): LotLedger {
+  const ledger = new LotLedger();
+  records.forEach((record) => ledger.applyRecord(record));
+  return ledger;
+}
+
+function encode(lot: LotRequest, nonce: string, maxRecordBytes = 262_144) {
+  return encodeLot(lot, { nonce, maxRecordBytes });
+}
+
+describe("LotLedger.applyRecord", () => {
+  it("puts a lot of several records together", () => {
+    const records = encode(createLot(), "n", 700);
+    assert.ok(records.length > 1);
+    const log = createLog(records);
+    assert.equal(applyAll(log.slice(1)).getLot("lot"), undefined);
+    assert.deepEqual(applyAll(log).getLot("lot")?.request, createLot());
+  });
+
+  it("keeps the first form of a lot that is accepted again", () => {
+    const log = createLog([
+      ...encode(createLot(), "n1"),
+      ...encode(createLot("lot", { minVersion: 9 }), "n2"),
+    ]);
+    assert.equal(applyAll(log).getLot("lot")?.request.minVersion, 1);
+  });
+
+  it("keeps the first result of a sample, whoever wrote it", () => {
+    const log = createLog([
+      ...encode(createLot(), "n1"),
+      encodeResults([createResult("b", "first")], { lot: "lot", nonce: "n2" }),
+      encodeResults([
+        createResult("b", "second"),
+        createResult("x", "of no lot"),
+        createResult("a", "first"),
+      ], { lot: "lot", nonce: "n3" }),
+    ]);
+    const lot = applyAll(log).getLot("lot");
+    assert.deepEqual(
+      lot?.results.map(({ sample, text }) => [sample, text]),
+      [["b", "first"], ["a", "first"]],
+    );
+  });
+
+  it("keeps results that come before their lot", () => {
+    const log = createLog([
+      encodeResults([createResult("b", "t")], { lot: "lot", nonce: "n2" }),
+      ...encode(createLot(), "n1"),
+    ]);
+    assert.equal(applyAll(log).getLot("lot")?.results.length, 1);
+  });
+
+  it("closes a lot and forgets it when its records are removed", () => {
+    const log = createLog([
+      ...encode(createLot(), "n1"),
+      encodeEnd({ lot: "lot", nonce: "n2" }),
+    ]);
+    const ledger = applyAll(log);
+    assert.equal(ledger.getLot("lot")?.isOpen, false);
+    const [key = ""] = ledger.getLot("lot")?.keys ?? [];
+    ledger.applyRecord({ key, value: Buffer.alloc(0), offset: 9 });
+    assert.equal(ledger.getLot("lot"), undefined);
+  });
+
+  it("holds the same positions when records are read again after a gap", () => {
+    const results = fc.array(
+      fc.record({ sample: fc.constantFrom(...SAMPLES), text: fc.string() }),
+      { maxLength: 12 },
+    );
+    fc.assert(
+      fc.property(results, fc.nat(12), (written, gap) => {
+        const log = createLog([
+          ...encode(createLot(), "n"),
+          ...written.map(({ sample, text }, index) =>
+            encodeResults([createResult(sample, text)], {
+              lot: "lot",
+              nonce: `r${index}`,
+            })
+          ),
+        ]);
+        const whole = applyAll(log);
+        const resumed = applyAll([...log.slice(0, gap), ...log]);
+        assert.deepEqual(
+          resumed.getLot("lot")?.results,
+          whole.getLot("lot")?.results,
+        );
+      }),
+      { seed: 6 },
+    );
+  });
+});
