--- a/packages/control/src/orders/order_lease.ts
+++ b/packages/control/src/orders/order_lease.ts
@@ -24,8 +24,11 @@
 /** A record of the lease. */
 export interface LeaseRecord {
   readonly kind: "claim" | "renewal" | "release";
-  /** One process; a host that starts again is another holder. */
-  readonly holder: HostId;
+  /** The host and its process; to engines, all processes of a host are one holder. */
+  readonly host: HostId;
+  readonly process: string;
+  /** How long the writer still waits before it gives orders, in milliseconds. */
+  readonly waitMs: number;
   /** The writer's own number for this record. */
   readonly sequence: number;
 }
@@ -44,7 +47,9 @@
 
 /** The settings of a lease. */
 export interface OrderLeaseOptions {
-  readonly self: HostId;
+  readonly host: HostId;
+  /** Differs for each start of the host. */
+  readonly process: string;
   /** The least time between orders of two holders to one engine, in milliseconds (a bound of the platform). */
   readonly turnMs: number;
   /** Spreads the claims of several hosts, in milliseconds. */
@@ -57,11 +62,11 @@
   readonly #sent = new Map<number, ClockPair>();
   #sequence = 0;
   #endOffset = 0;
-  #holder: HostId | undefined;
+  #holder: LeaseRecord | undefined;
   #token = 0;
   #lastSeenMs = 0;
   #validSince: ClockPair | undefined;
-  #mayOrderAtMs = Infinity;
+  #mayOrderAtMs = -Infinity;
 
   constructor(options: OrderLeaseOptions) {
     this.#options = options;
@@ -74,7 +79,7 @@
 
   /** Whether this host holds the lease, as far as it has read. */
   get isHolder(): boolean {
-    return this.#holder === this.#options.self;
+    return this.#holder !== undefined && this.#isOwn(this.#holder);
   }
 
   /**
@@ -94,28 +99,27 @@
    * @param now - The time.
    */
   applyRecord(record: LeaseRecord, offset: number, now: ClockPair): void {
-    const { self, turnMs } = this.#options;
-    const previousSeenMs = this.#lastSeenMs;
-    const hadHolder = this.#holder !== undefined;
+    const orderStartMs = this.#computeOrderStart(record.host);
     this.#endOffset = Math.max(this.#endOffset, offset + 1);
     this.#lastSeenMs = now.monotonicMs;
-    const sentAt = record.holder === self
+    const sentAt = this.#isOwn(record)
       ? this.#sent.get(record.sequence)
       : undefined;
-    this.#sent.delete(record.sequence);
+    if (this.#isOwn(record)) {
+      this.#sent.delete(record.sequence);
+    }
     if (record.kind === "release") {
       this.#holder = undefined;
       this.#validSince = undefined;
-      this.#mayOrderAtMs = now.monotonicMs + ORDER_FLIGHT_MS + turnMs;
+      this.#mayOrderAtMs = now.monotonicMs + ORDER_FLIGHT_MS +
+        this.#options.turnMs;
       return;
     }
     if (record.kind === "claim") {
       this.#token = offset + 1;
-      this.#mayOrderAtMs = hadHolder
-        ? previousSeenMs + TERM_MS + ORDER_FLIGHT_MS + turnMs
-        : Math.max(this.#mayOrderAtMs === Infinity ? 0 : this.#mayOrderAtMs, 0);
+      this.#mayOrderAtMs = orderStartMs;
     }
-    this.#holder = record.holder;
+    this.#holder = record;
     this.#validSince = sentAt;
   }
 
@@ -138,7 +142,10 @@
         : undefined;
     }
     const silentMs = now.monotonicMs - this.#lastSeenMs;
-    const silenceMs = this.#holder === undefined ? 0 : SILENCE_MS;
+    // An earlier process of this host gives no more orders.
+    const isFree = this.#holder === undefined ||
+      this.#holder.host === this.#options.host;
+    const silenceMs = isFree ? 0 : SILENCE_MS;
     return silentMs >= silenceMs + this.#options.claimDelayMs
       ? this.#createAppend("claim", now)
       : undefined;
@@ -169,10 +176,31 @@
   #createAppend(kind: LeaseRecord["kind"], now: ClockPair): LeaseAppend {
     const sequence = ++this.#sequence;
     this.#sent.set(sequence, now);
-    const record = { kind, holder: this.#options.self, sequence };
+    const { host, process } = this.#options;
+    const startMs = kind === "claim"
+      ? this.#computeOrderStart(host)
+      : this.#mayOrderAtMs;
+    const waitMs = Math.max(0, startMs - now.monotonicMs);
+    const record = { kind, host, process, sequence, waitMs };
     return { record, atOffset: this.#endOffset };
   }
 
+  /** Returns when a host that claims the lease now may begin to give orders. */
+  #computeOrderStart(host: HostId): number {
+    const previous = this.#holder;
+    if (previous === undefined) {
+      return this.#mayOrderAtMs;
+    }
+    return this.#lastSeenMs +
+      (previous.host === host
+        ? previous.waitMs
+        : TERM_MS + ORDER_FLIGHT_MS + this.#options.turnMs);
+  }
+
+  #isOwn({ host, process }: LeaseRecord): boolean {
+    return host === this.#options.host && process === this.#options.process;
+  }
+
   /** An append may still be on its way; what it did shows in the partition. */
   #hasRecentlySent(now: ClockPair): boolean {
     for (const [sequence, at] of this.#sent) {
--- a/packages/control/src/orders/weight_plan.ts
+++ b/packages/control/src/orders/weight_plan.ts
@@ -2,10 +2,10 @@
  * Which engine loads which weights next.
  *
  * Load pattern: each trainer names a version every few seconds, and an engine
- * that loads serves nothing of that model meanwhile. Half of a model's engines
- * at most load at once, the others go on with the version before, which the
- * next step still allows; only where no engine could serve that step do all
- * load together.
+ * that loads serves nothing new of that model meanwhile. A step allows the
+ * version before its own, so that half of a model's engines load each named
+ * version in turn while the others go on; those that the step no longer allows
+ * come first, and only where no engine could serve it do all load together.
  * @module
  */
 import type { EndpointId } from "@briarhill/common/ids/ids";
@@ -98,6 +98,12 @@
   const stale = behind.filter((engine) => getVersion(engine) < version - 1);
   const rest = behind.filter((engine) => getVersion(engine) >= version - 1);
   const busy = home.filter(({ isBusy }) => isBusy).length;
+  const newest = home.filter((engine) => getVersion(engine) >= version).length;
+  const wantedNewest = Math.ceil(home.length / 2) - newest - busy;
+  const needed = [
+    ...stale,
+    ...rest.slice(0, Math.max(0, wantedNewest - stale.length)),
+  ];
   const mayLoad = Math.max(1, Math.floor(home.length / 2)) - busy;
-  return [...stale, ...rest].slice(0, Math.max(0, mayLoad));
+  return needed.slice(0, Math.max(0, mayLoad));
 }
--- a/packages/edge/src/calls/endpoint_sender.ts
+++ b/packages/edge/src/calls/endpoint_sender.ts
@@ -24,8 +24,6 @@
 /** Below an endpoint's bound on connections, shared by all hosts. */
 const MAX_CONNECTIONS = 40;
 const IDLE_TIMEOUT_MS = 8_000;
-/** How long an endpoint that was full gets no new work, in milliseconds. */
-const FULL_PAUSE_MS = 40;
 
 /** One request to one endpoint. */
 export interface EndpointRequest {
@@ -110,11 +108,7 @@
       outcome = getOutcome(error, request.signal);
       throw error;
     } finally {
-      const nowMs = this.#clock.getMonotonicMs();
-      load.removeRequest(outcome, nowMs);
-      if (outcome === "refused") {
-        load.suspend(nowMs + FULL_PAUSE_MS);
-      }
+      load.removeRequest(outcome, this.#clock.getMonotonicMs());
     }
   }
 
--- a/packages/edge/src/lots/create_lot_runner.ts
+++ b/packages/edge/src/lots/create_lot_runner.ts
@@ -2,13 +2,14 @@
  * Puts the runner of a lot together.
  * @module
  */
-import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
 import type { LotAppender } from "./lot_appender.ts";
+import type { LotOwnerOptions } from "./lot_owner.ts";
 import { LotRunner, type LotRunnerOptions } from "./lot_runner.ts";
 import { ResultSettler } from "./result_settler.ts";
 
 /** What all runners need. */
-export interface RunnerParts extends Omit<LotRunnerOptions, "settler"> {
+export interface RunnerParts
+  extends Omit<LotRunnerOptions, "settler" | "takeEarlier"> {
   readonly appender: LotAppender;
 }
 
@@ -25,11 +26,12 @@
  */
 export function createLotRunner(
   parts: RunnerParts,
-): (lot: LedgerLot, partition: number) => LotRunner {
+): LotOwnerOptions["createRunner"] {
   const { appender, clock } = parts;
-  return (lot, partition) =>
+  return (lot, partition, takeEarlier) =>
     new LotRunner(lot, {
       ...parts,
+      takeEarlier,
       settler: new ResultSettler({
         lot: lot.id,
         partition,
--- a/packages/edge/src/lots/lot_appender.ts
+++ b/packages/edge/src/lots/lot_appender.ts
@@ -5,10 +5,13 @@
  * @module
  */
 import { PortError } from "@briarhill/common/errors/errors";
-import type { NewLogRecord, SharedLog } from "@briarhill/common/log/shared_log";
+import type {
+  LogPartition,
+  NewLogRecord,
+  SharedLog,
+} from "@briarhill/common/log/shared_log";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
-import { LOT_TOPIC } from "@briarhill/platform/names/topics";
 import { randomBytes } from "node:crypto";
 
 /** The pause before an append is repeated, in milliseconds. */
@@ -36,12 +39,12 @@
   /**
    * Appends records until the log has taken them or the time is up.
    *
-   * @param partition - The partition.
+   * @param place - The partition.
    * @param createRecords - Makes the records of one try.
    * @param deadlineMs - When to give up, on the monotonic clock.
    */
   async append(
-    partition: number,
+    place: LogPartition,
     createRecords: RecordMaker,
     deadlineMs: number,
   ): Promise<AppendOutcome> {
@@ -49,10 +52,7 @@
     do {
       try {
         const nonce = randomBytes(NONCE_BYTES).toString("hex");
-        await this.#log.append(
-          { topic: LOT_TOPIC, partition },
-          createRecords(nonce),
-        );
+        await this.#log.append(place, createRecords(nonce));
         return "appended";
       } catch (error) {
         if (!(error instanceof PortError)) {
@@ -60,7 +60,8 @@
         }
         outcome = error.outcome === "not-run" ? outcome : "unknown";
         this.#logger.error("lot-append-failed", error, {
-          partition,
+          topic: place.topic,
+          partition: place.partition,
           outcome: error.outcome,
         });
       }
--- /dev/null
+++ b/packages/edge/src/lots/lot_archive.ts
@@ -0,0 +1,124 @@
+/**
+ * Closes lots that are done, and removes their records when nobody may ask for them any more.
+ * @module
+ */
+import { BriarhillError } from "@briarhill/common/errors/errors";
+import type { SharedLog } from "@briarhill/common/log/shared_log";
+import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
+import { LOT_TOPIC, LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
+import { parseLotKey } from "@briarhill/rollout/ledger/lot_record";
+import {
+  encodeForgottenLot,
+  encodeOpenLot,
+  type OpenLotEntry,
+} from "@briarhill/rollout/ledger/open_lots";
+import { Buffer } from "node:buffer";
+import type { ShardGroup } from "./shard_group.ts";
+
+/** How often old lots are looked for, in milliseconds. */
+const SWEEP_EVERY_MS = 15_000;
+/** How long a closed lot is kept beyond its life, in milliseconds; its life begins before it is closed, on another host's clock. */
+const SLACK_MS = 10_000;
+/** Removals in one append. */
+const MAX_REMOVALS = 200;
+
+/** What an archive needs. */
+export interface LotArchiveOptions {
+  readonly log: SharedLog;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly group: ShardGroup;
+  /** How long after its hand-in a lot can be read, in milliseconds. */
+  readonly lotLifeMs: number;
+}
+
+/** Closes lots and removes old ones. */
+export class LotArchive {
+  readonly #options: LotArchiveOptions;
+  readonly #stopping = new AbortController();
+  /** Lots whose closing is on its way. */
+  readonly #closing = new Set<string>();
+
+  constructor(options: LotArchiveOptions) {
+    this.#options = options;
+  }
+
+  /** Begins to remove old lots. */
+  start(): void {
+    void this.#run();
+  }
+
+  /** Removes nothing more. */
+  stop(): void {
+    this.#stopping.abort();
+  }
+
+  /**
+   * Marks a lot as closed, so that the next owner of its shard need not look at it.
+   *
+   * @param shard - The shard.
+   * @param entry - The lot.
+   */
+  closeLot(shard: number, entry: OpenLotEntry): void {
+    if (!this.#closing.has(entry.lot)) {
+      this.#closing.add(entry.lot);
+      void this.#appendClosed(shard, entry);
+    }
+  }
+
+  async #appendClosed(shard: number, entry: OpenLotEntry): Promise<void> {
+    const { log, logger, clock } = this.#options;
+    const record = encodeOpenLot({ ...entry, closedAtMs: clock.getWallMs() });
+    try {
+      await log.append({ topic: LOT_WORK_TOPIC, partition: shard }, [record]);
+    } catch (error) {
+      if (!(error instanceof BriarhillError)) {
+        throw error;
+      }
+      // The entry still says open, so that the next look tries again.
+      logger.error("lot-append-failed", error, { partition: shard });
+    } finally {
+      await clock.sleep(1_000);
+      this.#closing.delete(entry.lot);
+    }
+  }
+
+  async #run(): Promise<void> {
+    const { clock, group, logger, lotLifeMs } = this.#options;
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      await clock.sleep(SWEEP_EVERY_MS, signal);
+      const beforeMs = clock.getWallMs() - lotLifeMs - SLACK_MS;
+      for (const { number, lots } of group.listShards()) {
+        for (const entry of lots.listClosed(beforeMs)) {
+          try {
+            await this.#removeLot(number, entry);
+          } catch (error) {
+            if (!(error instanceof BriarhillError)) {
+              throw error;
+            }
+            logger.error("lot-removal-failed", error, { lot: entry.lot });
+          }
+        }
+      }
+    }
+  }
+
+  async #removeLot(shard: number, entry: OpenLotEntry): Promise<void> {
+    const { log, logger } = this.#options;
+    const place = { topic: LOT_TOPIC, partition: entry.partition };
+    const { records } = await log.readNewest(place);
+    const removals = records
+      .filter(({ key }) => parseLotKey(key).lot === entry.lot)
+      .map(({ key }) => ({ key, value: Buffer.alloc(0) }));
+    for (let first = 0; first < removals.length; first += MAX_REMOVALS) {
+      await log.append(place, removals.slice(first, first + MAX_REMOVALS));
+    }
+    await log.append(
+      { topic: LOT_WORK_TOPIC, partition: shard },
+      [encodeForgottenLot(entry.lot)],
+    );
+    logger.info("lot-removed", { lot: entry.lot, records: removals.length });
+  }
+}
--- a/packages/edge/src/lots/lot_desk.ts
+++ b/packages/edge/src/lots/lot_desk.ts
@@ -8,6 +8,8 @@
 import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
 import { encodeEnd, encodeLot } from "@briarhill/rollout/ledger/lot_record";
 import type { LotRequest } from "@briarhill/rollout/ledger/lot_request";
+import { encodeOpenLot } from "@briarhill/rollout/ledger/open_lots";
+import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
 import type { AppendOutcome, LotAppender } from "./lot_appender.ts";
 import type { LotPartition } from "./lot_partition.ts";
 import type { LotPartitions } from "./lot_partitions.ts";
@@ -46,15 +48,34 @@
    */
   async admitLot(lot: LotRequest, deadlineMs: number): Promise<AppendOutcome> {
     const { partitions, appender, maxRecordBytes } = this.#options;
-    const number = partitions.getNumber(lot.id);
-    if (partitions.follow(number).ledger.getLot(lot.id) !== undefined) {
-      return "appended";
+    const place = partitions.getPlace(lot.id);
+    const { ledger } = partitions.follow(place.partition);
+    if (ledger.getLot(lot.id) === undefined) {
+      const outcome = await appender.append(
+        place,
+        (nonce) => encodeLot(lot, { nonce, maxRecordBytes }),
+        deadlineMs,
+      );
+      if (outcome !== "appended") {
+        return outcome;
+      }
     }
-    return await appender.append(
-      number,
-      (nonce) => encodeLot(lot, { nonce, maxRecordBytes }),
+    return await this.#announceLot(lot, place.partition, deadlineMs);
+  }
+
+  /** A lot that is kept but not announced may still be announced by a repeat, so that nothing else is certain. */
+  async #announceLot(
+    lot: LotRequest,
+    partition: number,
+    deadlineMs: number,
+  ): Promise<AppendOutcome> {
+    const { partitions, appender } = this.#options;
+    const outcome = await appender.append(
+      { topic: LOT_WORK_TOPIC, partition: partitions.getShard(lot) },
+      () => [encodeOpenLot({ lot: lot.id, partition })],
       deadlineMs,
     );
+    return outcome === "appended" ? "appended" : "unknown";
   }
 
   /**
@@ -76,7 +97,7 @@
     }
     const { partitions, appender } = this.#options;
     return await appender.append(
-      partitions.getNumber(id),
+      partitions.getPlace(id),
       (nonce) => [encodeEnd({ lot: id, nonce })],
       deadlineMs,
     );
@@ -89,7 +110,7 @@
    */
   async findLot(id: LotId): Promise<LotAnswer> {
     const { partitions, clock } = this.#options;
-    const partition = partitions.follow(partitions.getNumber(id));
+    const partition = partitions.follow(partitions.getPlace(id).partition);
     const known = partition.ledger.getLot(id);
     if (known !== undefined) {
       return { kind: "found", lot: known };
@@ -122,7 +143,7 @@
   ): Promise<void> {
     const { clock, partitions } = this.#options;
     const partition: LotPartition = partitions.follow(
-      partitions.getNumber(lot.id),
+      partitions.getPlace(lot.id).partition,
     );
     const deadlineMs = clock.getMonotonicMs() + waitMs;
     while (lot.results.length <= position && lot.isOpen) {
--- a/packages/edge/src/lots/lot_owner.ts
+++ b/packages/edge/src/lots/lot_owner.ts
@@ -1,51 +1,52 @@
 /**
- * Owns partitions of the lots, as the group assigns them, and runs their lots.
+ * Owns shards of the open lots, as the group assigns them, and runs their lots.
  *
  * Ownership only decides who does the work: two owners at once waste runs, but
  * the log alone settles results, so that neither can harm the other's.
  * @module
  */
-import { PortError } from "@briarhill/common/errors/errors";
-import type { SharedLog } from "@briarhill/common/log/shared_log";
-import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
-import { LOT_TOPIC } from "@briarhill/platform/names/topics";
 import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
-import type { LotPartition } from "./lot_partition.ts";
+import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
+import type { LotArchive } from "./lot_archive.ts";
 import type { LotPartitions } from "./lot_partitions.ts";
 import type { LotRunner } from "./lot_runner.ts";
+import type { ShardGroup } from "./shard_group.ts";
+import type { WorkShard } from "./work_shard.ts";
 
-/** The group of the hosts that run lots. */
-export const LOT_GROUP = "lot-owners";
-/** How long a silent host keeps its partitions, in milliseconds: a dead owner's lots wait this long. */
-const GROUP_TTL_MS = 2_000;
-/** How often a host says that it is there, in milliseconds. */
-const JOIN_EVERY_MS = 600;
-/** How long a host runs its lots on while it can't reach the group, in milliseconds. */
-const OWN_UNTIL_MS = 8_000;
+/** How long what a closed lot has generated is kept for the next lot, in milliseconds; a trainer asks for its next step within some seconds. */
+const KEEP_TASKS_MS = 8_000;
+/** How long runs of a closed lot go on, in milliseconds: below the bound after which nothing may reach an engine. */
+const RUN_ON_MS = 2_000;
 /** How often waiting samples are looked at, in milliseconds. */
-const ADVANCE_EVERY_MS = 25;
+const BUSY_EVERY_MS = 25;
+/** The same while no lot is open; what is announced is looked at at once. */
+const IDLE_EVERY_MS = 250;
 
 /** What an owner needs. */
 export interface LotOwnerOptions {
-  readonly log: SharedLog;
   readonly clock: Clock;
-  readonly logger: Logger;
+  readonly group: ShardGroup;
   readonly partitions: LotPartitions;
-  /** This process in the group. */
-  readonly member: string;
-  readonly ttlMinMs: number;
-  readonly createRunner: (lot: LedgerLot, partition: number) => LotRunner;
+  readonly archive: LotArchive;
+  readonly createRunner: (
+    lot: LedgerLot,
+    partition: number,
+    takeEarlier: (sample: string) => SampleTask | undefined,
+  ) => LotRunner;
 }
 
-/** Owns partitions of the lots and runs their lots. */
+interface ClosedRunner {
+  readonly runner: LotRunner;
+  readonly closedAtMs: number;
+}
+
+/** Owns shards of the open lots and runs their lots. */
 export class LotOwner {
   readonly #options: LotOwnerOptions;
   readonly #stopping = new AbortController();
-  readonly #owned = new Map<number, LotPartition>();
   readonly #runners = new Map<string, LotRunner>();
-  #generation = 0;
-  #joinedAtMs = -Infinity;
+  #closed: readonly ClosedRunner[] = [];
 
   constructor(options: LotOwnerOptions) {
     this.#options = options;
@@ -53,7 +54,7 @@
 
   /** Joins the group and begins to run lots. */
   start(): void {
-    void this.#runMembership();
+    this.#options.group.start(() => this.#advance());
     void this.#runAdvancing();
   }
 
@@ -61,98 +62,94 @@
   async stop(): Promise<void> {
     this.#stopping.abort();
     this.#runners.forEach((runner) => runner.stop());
+    this.#closed.forEach(({ runner }) => runner.stop());
     this.#runners.clear();
-    try {
-      await this.#options.log.leaveGroup(this.#createMembership());
-    } catch (error) {
-      // The group notices after a while by itself.
-      this.#options.logger.error("group-leave-failed", error);
-    }
+    await this.#options.group.stop();
   }
 
-  async #runMembership(): Promise<void> {
-    const { clock, log, logger } = this.#options;
+  async #runAdvancing(): Promise<void> {
+    const { clock } = this.#options;
     const { signal } = this.#stopping;
     while (!signal.aborted) {
-      try {
-        const sentAtMs = clock.getMonotonicMs();
-        const assignment = await log.joinGroup(this.#createMembership());
-        this.#joinedAtMs = sentAtMs;
-        this.#generation = assignment.generation;
-        this.#setOwned(assignment.partitions.map(({ partition }) => partition));
-      } catch (error) {
-        if (!(error instanceof PortError)) {
-          throw error;
-        }
-        logger.error("group-join-failed", error);
-      }
-      await clock.sleep(JOIN_EVERY_MS, signal);
+      this.#advance();
+      const isBusy = this.#runners.size > 0 || this.#closed.length > 0;
+      await clock.sleep(isBusy ? BUSY_EVERY_MS : IDLE_EVERY_MS, signal);
     }
   }
 
-  #createMembership() {
-    const { member, ttlMinMs } = this.#options;
-    return {
-      group: LOT_GROUP,
-      member,
-      topics: [LOT_TOPIC],
-      ttlMs: Math.max(ttlMinMs, GROUP_TTL_MS),
-      generation: this.#generation,
-    };
-  }
-
-  #setOwned(numbers: readonly number[]): void {
+  #advance(): void {
     if (this.#stopping.signal.aborted) {
       return;
     }
-    const { partitions, logger } = this.#options;
-    const lost = [...this.#owned.keys()].filter((one) =>
-      !numbers.includes(one)
-    );
-    const gained = numbers.filter((one) => !this.#owned.has(one));
-    lost.forEach((one) => this.#owned.delete(one));
-    gained.forEach((one) => this.#owned.set(one, partitions.follow(one)));
-    if (lost.length + gained.length > 0) {
-      logger.info("partitions-assigned", {
-        generation: this.#generation,
-        owned: numbers.join(","),
-        lost: lost.join(","),
-      });
-      this.#advance();
+    const open = new Set<string>();
+    for (const shard of this.#options.group.listShards()) {
+      this.#advanceShard(shard, open);
+    }
+    for (const [id, runner] of this.#runners) {
+      if (open.has(id)) {
+        runner.advance();
+      } else {
+        this.#closeRunner(id, runner);
+      }
     }
+    this.#pruneClosed();
   }
 
-  async #runAdvancing(): Promise<void> {
-    const { clock } = this.#options;
-    const { signal } = this.#stopping;
-    while (!signal.aborted) {
-      this.#advance();
-      await clock.sleep(ADVANCE_EVERY_MS, signal);
+  #advanceShard(shard: WorkShard, open: Set<string>): void {
+    const { partitions, archive, createRunner } = this.#options;
+    for (const entry of shard.lots.listOpen()) {
+      const partition = partitions.follow(entry.partition);
+      const lot = partition.ledger.getLot(entry.lot);
+      if (lot === undefined) {
+        continue;
+      }
+      if (!lot.isOpen) {
+        archive.closeLot(shard.number, entry);
+        continue;
+      }
+      open.add(lot.id);
+      if (!this.#runners.has(lot.id)) {
+        const runner = createRunner(
+          lot,
+          entry.partition,
+          (sample) => this.#takeEarlier(sample),
+        );
+        this.#runners.set(lot.id, runner);
+      }
     }
   }
 
-  #advance(): void {
-    const { clock, createRunner } = this.#options;
-    const isOwner = clock.getMonotonicMs() - this.#joinedAtMs < OWN_UNTIL_MS;
-    const open = new Set<string>();
-    for (const [number, partition] of isOwner ? this.#owned : []) {
-      for (const lot of partition.ledger.listLots()) {
-        if (!lot.isOpen) {
-          continue;
-        }
-        open.add(lot.id);
-        if (!this.#runners.has(lot.id)) {
-          this.#runners.set(lot.id, createRunner(lot, number));
-        }
+  #closeRunner(id: string, runner: LotRunner): void {
+    this.#runners.delete(id);
+    if (runner.isOpen) {
+      // Another host owns it now and begins anew.
+      runner.stop();
+      return;
+    }
+    const closedAtMs = this.#options.clock.getMonotonicMs();
+    this.#closed = [...this.#closed, { runner, closedAtMs }];
+  }
+
+  /** The newest lot's work counts. */
+  #takeEarlier(sample: string): SampleTask | undefined {
+    for (const { runner } of this.#closed.toReversed()) {
+      const task = runner.takeTask(sample);
+      if (task !== undefined) {
+        return task;
       }
     }
-    for (const [id, runner] of this.#runners) {
-      if (open.has(id)) {
-        runner.advance();
-      } else {
+    return undefined;
+  }
+
+  #pruneClosed(): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    for (const { runner, closedAtMs } of this.#closed) {
+      if (nowMs - closedAtMs > RUN_ON_MS) {
         runner.stop();
-        this.#runners.delete(id);
       }
     }
+    this.#closed = this.#closed.filter(({ closedAtMs }) =>
+      nowMs - closedAtMs < KEEP_TASKS_MS
+    );
   }
 }
--- a/packages/edge/src/lots/lot_partitions.ts
+++ b/packages/edge/src/lots/lot_partitions.ts
@@ -5,6 +5,9 @@
  */
 import { hashText } from "@briarhill/common/hashing/rendezvous";
 import type { LotId } from "@briarhill/common/ids/ids";
+import type { LogPartition } from "@briarhill/common/log/shared_log";
+import { LOT_TOPIC } from "@briarhill/platform/names/topics";
+import type { LotRequest } from "@briarhill/rollout/ledger/lot_request";
 import { LotPartition, type LotPartitionOptions } from "./lot_partition.ts";
 
 /** The partitions that this host follows. */
@@ -23,12 +26,21 @@
   }
 
   /**
-   * Returns the number of the partition that holds a lot.
+   * Returns the partition that holds a lot.
    *
    * @param lot - The lot's id.
    */
-  getNumber(lot: LotId): number {
-    return hashText(lot) % this.#count;
+  getPlace(lot: LotId): LogPartition {
+    return { topic: LOT_TOPIC, partition: hashText(lot) % this.#count };
+  }
+
+  /**
+   * Returns the shard that runs a lot: one for all lots of a model.
+   *
+   * @param lot - The lot.
+   */
+  getShard(lot: Pick<LotRequest, "host" | "model">): number {
+    return hashText(`${lot.host} ${lot.model}`) % this.#count;
   }
 
   /**
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -2,86 +2,89 @@
  * Runs the samples of one lot: generation, scoring, settling.
  * @module
  */
-import type { Logger } from "@briarhill/common/logging/logger";
-import type { Clock } from "@briarhill/common/time/clock";
-import { assignEngines } from "@briarhill/control/orders/engine_assignment";
-import { listEngines } from "@briarhill/rollout/dispatch/engine_choice";
 import { LotWork } from "@briarhill/rollout/dispatch/lot_work";
 import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
 import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
-import type { SampleResult } from "@briarhill/rollout/ledger/lot_request";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
-import { setMaxListeners } from "node:events";
-import type { EndpointSender } from "../calls/endpoint_sender.ts";
-import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
-import type { ResultSettler } from "./result_settler.ts";
 import type { GenerationReport } from "./generation_report.ts";
-import { runGeneration } from "./sample_generation.ts";
+import type { ResultSettler } from "./result_settler.ts";
+import {
+  RunningSamples,
+  type RunningSamplesOptions,
+} from "./running_samples.ts";
 import type { SampleScorer } from "./sample_scorer.ts";
 
 /** The pause after a run that an engine refused, in milliseconds. */
-const REFUSED_PAUSE_MS = 40;
+const REFUSED_PAUSE_MS = 30;
 /** The pause after a run that broke off, in milliseconds; the engine has dropped it by then. */
-const BROKEN_PAUSE_MS = 60;
-/** The longest run of a sample at one engine, in milliseconds. */
-const RUN_BOUND_MS = 15_000;
-/** The urgency of requests that say nothing. */
-const USUAL_URGENCY = 5;
+const BROKEN_PAUSE_MS = 40;
 
 /** What a runner needs. */
-export interface LotRunnerOptions {
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly directory: EndpointDirectory;
-  readonly sender: EndpointSender;
+export interface LotRunnerOptions extends RunningSamplesOptions {
   readonly scorer: SampleScorer;
   readonly settler: ResultSettler;
   readonly getTable: () => RouteTable | undefined;
-  readonly failureDomain: string;
+  /** Takes over what an earlier lot has generated of a sample, which then ends there. */
+  readonly takeEarlier: (sample: string) => SampleTask | undefined;
 }
 
 /** Runs the samples of one lot until it is closed or this host no longer owns it. */
 export class LotRunner {
   readonly #options: LotRunnerOptions;
   readonly #work: LotWork;
+  readonly #runs: RunningSamples;
   readonly #stopping = new AbortController();
 
   constructor(lot: LedgerLot, options: LotRunnerOptions) {
     this.#options = options;
-    // Every sample of the lot waits on this one signal.
-    setMaxListeners(0, this.#stopping.signal);
     this.#work = new LotWork(lot);
+    this.#runs = new RunningSamples(options, lot);
+    const { minVersion, model } = lot.request;
+    const merged = this.#work.listTasks().filter((task) => {
+      const earlier = options.takeEarlier(task.request.id);
+      return earlier !== undefined && task.mergeTask(earlier, minVersion);
+    });
     options.logger.info("lot-begun", {
       lot: lot.id,
       samples: lot.request.samples.length,
       settled: lot.results.length,
-      model: lot.request.model,
-      minVersion: lot.request.minVersion,
+      merged: merged.length,
+      model,
+      minVersion,
     });
   }
 
-  /** Whether results are still wanted. */
+  /** Whether results of its lot are still wanted. */
   get isOpen(): boolean {
-    return this.#work.isOpen && !this.#stopping.signal.aborted;
+    return this.#work.isOpen;
+  }
+
+  /**
+   * Gives up the work on a sample and returns it, if it has begun.
+   *
+   * @param sample - The sample.
+   */
+  takeTask(sample: string): SampleTask | undefined {
+    this.#runs.abortRun(sample);
+    return this.#work.getTask(sample);
   }
 
   /** Cancels what runs. */
   stop(): void {
     this.#stopping.abort();
+    this.#runs.abortAll();
   }
 
   /** Starts what can be started now. */
   advance(): void {
     const { clock, getTable } = this.#options;
     const { request } = this.#work.lot;
-    if (!this.#work.isOpen) {
-      this.stop();
-      return;
-    }
     const route = getTable()?.findRoute(request.host, request.path);
-    if (route === undefined) {
+    if (
+      route === undefined || !this.#work.isOpen || this.#stopping.signal.aborted
+    ) {
       return;
     }
     if (clock.getWallMs() > request.acceptedAtMs + route.retentionMs) {
@@ -90,8 +93,16 @@
     }
     const nowMs = clock.getMonotonicMs();
     this.#work.listUnscored(nowMs).forEach((task) => void this.#score(task));
+    this.#startWaiting(route, nowMs);
+    this.#runs.advanceMoves(route, nowMs);
+  }
+
+  #startWaiting(route: RouteStructure, nowMs: number): void {
     for (const task of this.#work.listWaiting(nowMs)) {
-      const engine = this.#pickEngine(route);
+      const engine = this.#options.picker.pickEngine(
+        this.#work.lot.request,
+        route,
+      );
       if (engine === undefined) {
         return;
       }
@@ -99,60 +110,13 @@
     }
   }
 
-  #pickEngine(route: RouteStructure): EndpointStructure | undefined {
-    const { directory, clock, failureDomain, getTable } = this.#options;
-    const { model, minVersion } = this.#work.lot.request;
-    const service = route.targets[0]?.service ?? "";
-    const engines = directory.listEndpoints(service);
-    const models = getTable()?.getService(service)?.models ?? [];
-    const nowMs = clock.getMonotonicMs();
-    const homes = assignEngines(models, engines.map(({ id }) => id));
-    const candidates = listEngines({
-      engines,
-      model,
-      minVersion,
-      home: homes.get(model) ?? new Set(),
-      getRequests: (id) => directory.board.getLoad(id).getRequests(nowMs),
-      isPaused: (id) => directory.board.getLoad(id).isPaused(nowMs),
-    });
-    return directory.board.pickEndpoint({
-      candidates,
-      tried: new Set(),
-      failureDomain,
-      nowMs,
-    });
-  }
-
   async #generate(
     task: SampleTask,
     endpoint: EndpointStructure,
     route: RouteStructure,
   ): Promise<void> {
     task.phase = "generating";
-    const { clock, sender } = this.#options;
-    const startMs = clock.getMonotonicMs();
-    const startEvents = task.eventCount;
-    const report = await runGeneration({
-      clock,
-      sender,
-      lot: this.#work.lot.request,
-      task,
-      endpoint,
-      urgency: USUAL_URGENCY,
-      deadlineMs: RUN_BOUND_MS,
-      signal: this.#stopping.signal,
-    });
-    this.#options.logger.info("sample-run-ended", {
-      lot: this.#work.lot.id,
-      sample: task.request.id,
-      endpoint: endpoint.id,
-      end: report.end,
-      reason: report.reason,
-      fromEvent: startEvents,
-      events: task.eventCount,
-      tookMs: Math.round(clock.getMonotonicMs() - startMs),
-      versions: task.versions.join(","),
-    });
+    const report = await this.#runs.runSample(task, endpoint);
     this.#applyReport(task, report, route);
     this.advance();
   }
@@ -162,9 +126,13 @@
     { end, reason }: GenerationReport,
     route: RouteStructure,
   ): void {
-    const nowMs = this.#options.clock.getMonotonicMs();
     if (end === "finished" && task.eventCount > 0) {
-      this.#finishGeneration(task, route);
+      task.isWhole = true;
+      const isMixed = route.isSingleVersion && task.versions.length > 1;
+      if (isMixed) {
+        task.clear();
+      }
+      task.phase = isMixed ? "waiting" : "unscored";
       return;
     }
     if (end === "impossible") {
@@ -179,30 +147,19 @@
       task.clear();
     }
     task.phase = "waiting";
-    task.notBeforeMs = nowMs +
+    task.notBeforeMs = this.#options.clock.getMonotonicMs() +
       (end === "refused" ? REFUSED_PAUSE_MS : BROKEN_PAUSE_MS);
   }
 
-  #finishGeneration(task: SampleTask, route: RouteStructure): void {
-    if (route.isSingleVersion && task.versions.length > 1) {
-      task.clear();
-      task.phase = "waiting";
-      return;
-    }
-    if (task.request.scoring === undefined) {
-      this.#settle(task, task.toResult(""));
-      return;
-    }
-    task.phase = "unscored";
-  }
-
   async #score(task: SampleTask): Promise<void> {
     const { scorer, clock, getTable } = this.#options;
     const { scoring } = task.request;
-    const route = scoring === undefined
-      ? undefined
-      : getTable()?.findRoute(scoring.host, scoring.path);
-    if (scoring === undefined || route === undefined) {
+    if (scoring === undefined || task.score !== "") {
+      this.#settle(task);
+      return;
+    }
+    const route = getTable()?.findRoute(scoring.host, scoring.path);
+    if (route === undefined) {
       return;
     }
     task.phase = "scoring";
@@ -212,7 +169,8 @@
       this.#stopping.signal,
     );
     if (signature !== "") {
-      this.#settle(task, task.toResult(signature));
+      task.score = signature;
+      this.#settle(task);
       return;
     }
     task.scoringFailures += failures;
@@ -224,9 +182,9 @@
     task.notBeforeMs = clock.getMonotonicMs() + BROKEN_PAUSE_MS;
   }
 
-  #settle(task: SampleTask, result: SampleResult): void {
+  #settle(task: SampleTask): void {
     task.phase = "done";
-    this.#options.settler.addResult(result);
+    this.#options.settler.addResult(task.toResult());
   }
 
   #dropSample(task: SampleTask, reason: string): void {
@@ -237,7 +195,8 @@
       failures: task.failures,
       scoringFailures: task.scoringFailures,
     });
-    this.#settle(task, task.toAbandoned());
+    task.phase = "done";
+    this.#options.settler.addResult(task.toAbandoned());
   }
 
   #dropAll(): void {
--- a/packages/edge/src/lots/result_settler.ts
+++ b/packages/edge/src/lots/result_settler.ts
@@ -6,6 +6,7 @@
 import type { LotId } from "@briarhill/common/ids/ids";
 import type { Clock } from "@briarhill/common/time/clock";
 import { encodeResults } from "@briarhill/rollout/ledger/lot_record";
+import { LOT_TOPIC } from "@briarhill/platform/names/topics";
 import type { SampleResult } from "@briarhill/rollout/ledger/lot_request";
 import type { LotAppender } from "./lot_appender.ts";
 
@@ -59,7 +60,7 @@
       await this.#clock.sleep(GATHER_MS);
       const batch = this.#takeBatch();
       const outcome = await this.#appender.append(
-        this.#partition,
+        { topic: LOT_TOPIC, partition: this.#partition },
         (nonce) => [encodeResults(batch, { lot: this.#lot, nonce })],
         this.#clock.getMonotonicMs() + APPEND_BOUND_MS,
       );
--- /dev/null
+++ b/packages/edge/src/lots/shard_group.ts
@@ -0,0 +1,133 @@
+/**
+ * This host's part of the shards, as the group of hosts assigns them.
+ * @module
+ */
+import { PortError } from "@briarhill/common/errors/errors";
+import type {
+  GroupMembership,
+  SharedLog,
+} from "@briarhill/common/log/shared_log";
+import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
+import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
+import { WorkShard } from "./work_shard.ts";
+
+/** The group of the hosts that run lots. */
+export const LOT_GROUP = "lot-owners";
+/** How long a silent host keeps its shards, in milliseconds: a dead owner's lots wait this long. */
+const GROUP_TTL_MS = 2_000;
+/** How often a host says that it is there, in milliseconds. */
+const JOIN_EVERY_MS = 600;
+/** How long a host runs its lots on while it can't reach the group, in milliseconds. */
+const OWN_UNTIL_MS = 8_000;
+
+/** What a group needs. */
+export interface ShardGroupOptions {
+  readonly log: SharedLog;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** This process in the group. */
+  readonly member: string;
+  /** The shortest time that a silent member may keep its shards, in milliseconds. */
+  readonly ttlMinMs: number;
+}
+
+/** This host's part of the shards. */
+export class ShardGroup {
+  readonly #options: ShardGroupOptions;
+  readonly #stopping = new AbortController();
+  readonly #owned = new Map<number, WorkShard>();
+  #onChange: () => void = () => undefined;
+  #generation = 0;
+  #joinedAtMs = -Infinity;
+
+  constructor(options: ShardGroupOptions) {
+    this.#options = options;
+  }
+
+  /** Returns the shards that this host owns; none when it can't reach the group for long. */
+  listShards(): readonly WorkShard[] {
+    const sinceMs = this.#options.clock.getMonotonicMs() - this.#joinedAtMs;
+    return sinceMs < OWN_UNTIL_MS ? [...this.#owned.values()] : [];
+  }
+
+  /**
+   * Joins the group and stays in it.
+   *
+   * @param onChange - Is called when shards or their lots have changed.
+   */
+  start(onChange: () => void): void {
+    this.#onChange = onChange;
+    void this.#run();
+  }
+
+  /** Leaves the group, so that others get the shards at once. */
+  async stop(): Promise<void> {
+    this.#stopping.abort();
+    this.#owned.forEach((shard) => shard.stop());
+    this.#owned.clear();
+    try {
+      await this.#options.log.leaveGroup(this.#createMembership());
+    } catch (error) {
+      // The group notices after a while by itself.
+      this.#options.logger.error("group-leave-failed", error);
+    }
+  }
+
+  async #run(): Promise<void> {
+    const { clock, log, logger } = this.#options;
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      try {
+        const sentAtMs = clock.getMonotonicMs();
+        const assignment = await log.joinGroup(this.#createMembership());
+        this.#joinedAtMs = sentAtMs;
+        this.#generation = assignment.generation;
+        this.#setOwned(assignment.partitions.map(({ partition }) => partition));
+      } catch (error) {
+        if (!(error instanceof PortError)) {
+          throw error;
+        }
+        logger.error("group-join-failed", error);
+      }
+      await clock.sleep(JOIN_EVERY_MS, signal);
+    }
+  }
+
+  #createMembership(): GroupMembership {
+    const { member, ttlMinMs } = this.#options;
+    return {
+      group: LOT_GROUP,
+      member,
+      topics: [LOT_WORK_TOPIC],
+      ttlMs: Math.max(ttlMinMs, GROUP_TTL_MS),
+      generation: this.#generation,
+    };
+  }
+
+  #setOwned(numbers: readonly number[]): void {
+    if (this.#stopping.signal.aborted) {
+      return;
+    }
+    const lost = [...this.#owned.keys()].filter((one) =>
+      !numbers.includes(one)
+    );
+    const gained = numbers.filter((one) => !this.#owned.has(one));
+    for (const one of lost) {
+      this.#owned.get(one)?.stop();
+      this.#owned.delete(one);
+    }
+    for (const one of gained) {
+      const onChange = () => this.#onChange();
+      this.#owned.set(one, new WorkShard(one, { ...this.#options, onChange }));
+    }
+    if (lost.length + gained.length > 0) {
+      this.#options.logger.info("partitions-assigned", {
+        generation: this.#generation,
+        owned: numbers.join(","),
+        lost: lost.join(","),
+      });
+      this.#onChange();
+    }
+  }
+}
--- /dev/null
+++ b/packages/edge/src/lots/work_shard.ts
@@ -0,0 +1,70 @@
+/**
+ * One shard of the open lots that this host runs.
+ * @module
+ */
+import { BriarhillError } from "@briarhill/common/errors/errors";
+import type { LogRecord, SharedLog } from "@briarhill/common/log/shared_log";
+import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
+import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
+import { OpenLots } from "@briarhill/rollout/ledger/open_lots";
+import { LogFollower } from "../log/log_follower.ts";
+
+/** The longest wait of one read, in milliseconds: a silent connection shows this late. */
+const READ_WAIT_MS = 900;
+
+/** What a shard needs. */
+export interface WorkShardOptions {
+  readonly log: SharedLog;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Is called when lots were announced or closed. */
+  readonly onChange: () => void;
+}
+
+/** One shard of the open lots. */
+export class WorkShard {
+  readonly number: number;
+  readonly lots = new OpenLots();
+  readonly #options: WorkShardOptions;
+  readonly #follower: LogFollower;
+
+  constructor(number: number, options: WorkShardOptions) {
+    this.number = number;
+    this.#options = options;
+    this.#follower = new LogFollower({
+      ...options,
+      place: { topic: LOT_WORK_TOPIC, partition: number },
+      fromNewest: true,
+      waitMs: READ_WAIT_MS,
+      pauseMs: 0,
+      onSnapshot: (records) => this.#applyRecords(records),
+      onRecords: (records) => this.#applyRecords(records),
+    });
+    this.#follower.start();
+  }
+
+  /** Stops following. */
+  stop(): void {
+    this.#follower.stop();
+  }
+
+  #applyRecords(records: readonly LogRecord[]): void {
+    for (const record of records) {
+      try {
+        this.lots.applyRecord(record);
+      } catch (error) {
+        if (
+          !(error instanceof BriarhillError || error instanceof SyntaxError)
+        ) {
+          throw error;
+        }
+        const { key } = record;
+        this.#options.logger.error("lot-record-unreadable", error, { key });
+      }
+    }
+    if (records.length > 0) {
+      this.#options.onChange();
+    }
+  }
+}
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -69,6 +69,7 @@
     this.#serving.published.start();
     this.#store.peers.start();
     this.#training.owner.start();
+    this.#training.archive.start();
     this.#training.lease.start();
     this.#training.orders.start();
     this.#logger.info("host-started", {
@@ -86,8 +87,9 @@
     const startMs = this.#clock.getMonotonicMs();
     const endMs = startMs + this.#settings.graceMs - EXIT_MS;
     this.#logger.info("host-stopping", { open: this.#ingress.open });
-    const { orders, owner, lease } = this.#training;
+    const { orders, owner, lease, archive } = this.#training;
     orders.stop();
+    archive.stop();
     await Promise.all([owner.stop(), lease.stop()]);
     await this.#clock.sleep(
       Math.max(0, startMs + BALANCER_MS - this.#clock.getMonotonicMs()),
--- a/packages/edge/src/node/published_state.ts
+++ b/packages/edge/src/node/published_state.ts
@@ -17,7 +17,7 @@
 /** The longest wait of one read, in milliseconds: a silent connection shows this late. */
 const READ_WAIT_MS = 800;
 /** The pause after entries of endpoints, in milliseconds, which come many a second; well below the bound for leaving endpoints. */
-const ENDPOINT_PAUSE_MS = 200;
+const ENDPOINT_PAUSE_MS = 350;
 
 /** What following needs. */
 export interface PublishedStateOptions {
--- a/packages/edge/src/node/training.ts
+++ b/packages/edge/src/node/training.ts
@@ -3,12 +3,15 @@
  * @module
  */
 import type { SharedLog } from "@briarhill/common/log/shared_log";
+import { EnginePicker } from "../lots/engine_picker.ts";
 import { createLotRunner } from "../lots/create_lot_runner.ts";
 import { LotAppender } from "../lots/lot_appender.ts";
 import { LotDesk } from "../lots/lot_desk.ts";
-import { LotOwner } from "../lots/lot_owner.ts";
+import { LotArchive } from "../lots/lot_archive.ts";
+import { LotOwner, type LotOwnerOptions } from "../lots/lot_owner.ts";
 import { LotPartitions } from "../lots/lot_partitions.ts";
 import { SampleScorer } from "../lots/sample_scorer.ts";
+import { ShardGroup } from "../lots/shard_group.ts";
 import { LeaseKeeper } from "../weights/lease_keeper.ts";
 import { OrderKeeper } from "../weights/order_keeper.ts";
 import type { HostContext } from "./host_context.ts";
@@ -22,6 +25,7 @@
   readonly partitions: LotPartitions;
   readonly desk: LotDesk;
   readonly owner: LotOwner;
+  readonly archive: LotArchive;
   readonly lease: LeaseKeeper;
   readonly orders: OrderKeeper;
 }
@@ -44,28 +48,53 @@
   context: HostContext,
   options: { readonly log: SharedLog; readonly serving: Serving },
 ): Training {
-  const { settings, clock, logger, self } = context;
+  const { settings, clock, logger } = context;
   const { log, serving } = options;
   const shared = { ...context, log };
   const partitions = new LotPartitions(settings.storePartitions, shared);
   const appender = new LotAppender(log, clock, logger);
-  const owner = new LotOwner({
+  const group = new ShardGroup({
     ...shared,
-    partitions,
-    member: self,
+    // A host that starts again finds its shards at once.
+    member: settings.ip,
     ttlMinMs: settings.groupTtlMinMs,
-    createRunner: createLotRunner({
+  });
+  const { lotLifeMs } = settings;
+  const archive = new LotArchive({ ...shared, group, lotLifeMs });
+  const owner = new LotOwner({
+    clock,
+    group,
+    partitions,
+    archive,
+    createRunner: createRunners(context, { appender, serving }),
+  });
+  const maxRecordBytes = settings.recordBytes;
+  const desk = new LotDesk({ clock, partitions, appender, maxRecordBytes });
+  const orders = createOrders(context, options);
+  return { partitions, desk, owner, archive, ...orders };
+}
+
+function createRunners(
+  context: HostContext,
+  parts: { readonly appender: LotAppender; readonly serving: Serving },
+): LotOwnerOptions["createRunner"] {
+  const { settings, clock, logger } = context;
+  const { appender, serving } = parts;
+  const { failureDomain } = settings;
+  const getTable = () => serving.published.table;
+  return createLotRunner({
+    ...context,
+    ...serving,
+    scorer: new SampleScorer(serving.forwarder, clock, logger),
+    picker: new EnginePicker({
       ...context,
       ...serving,
-      scorer: new SampleScorer(serving.forwarder, clock, logger),
-      appender,
-      getTable: () => serving.published.table,
-      failureDomain: settings.failureDomain,
+      getTable,
+      failureDomain,
     }),
+    appender,
+    getTable,
   });
-  const maxRecordBytes = settings.recordBytes;
-  const desk = new LotDesk({ clock, partitions, appender, maxRecordBytes });
-  return { partitions, desk, owner, ...createOrders(context, options) };
 }
 
 function createOrders(
@@ -76,6 +105,8 @@
   const lease = new LeaseKeeper({
     ...context,
     log,
+    host: settings.ip,
+    process: context.self,
     turnMs: settings.orderTurnMs,
     claimDelayMs: CLAIM_SPREAD_MS * random.getUnit(),
   });
--- a/packages/edge/src/peers/peer_list.ts
+++ b/packages/edge/src/peers/peer_list.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { Clock } from "@briarhill/common/time/clock";
-import { LOT_GROUP } from "../lots/lot_owner.ts";
+import { LOT_GROUP } from "../lots/shard_group.ts";
 import type { HostSettings } from "../settings/host_settings.ts";
 
 /** How often the list is read, in milliseconds; it is needed only while the store turns this host away. */
@@ -55,8 +55,7 @@
       await clock.sleep(REFRESH_EVERY_MS * (0.5 + random.getUnit()));
       try {
         const members = await log.listMembers(LOT_GROUP);
-        const hosts = members.map((member) => member.split("/", 1)[0] ?? "");
-        this.#hosts = new Set([...hosts, ...settings.seeds]);
+        this.#hosts = new Set([...members, ...settings.seeds]);
       } catch (error) {
         if (!(error instanceof BriarhillError)) {
           throw error;
--- a/packages/edge/src/weights/lease_keeper.ts
+++ b/packages/edge/src/weights/lease_keeper.ts
@@ -19,6 +19,8 @@
 const PLACE = { topic: LEASE_TOPIC, partition: 0 } as const;
 /** How often the lease is looked at, in milliseconds. */
 const CHECK_EVERY_MS = 100;
+/** The same while another host holds it. */
+const IDLE_EVERY_MS = 250;
 /** The longest wait of one read, in milliseconds; below the silence after which a lease is claimed. */
 const READ_WAIT_MS = 700;
 /** How fresh a read has to be for a claim or a renewal, in milliseconds. */
@@ -29,8 +31,9 @@
   readonly log: SharedLog;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** This process. */
-  readonly self: string;
+  readonly host: string;
+  /** Differs for each start of the host. */
+  readonly process: string;
   readonly turnMs: number;
   readonly claimDelayMs: number;
 }
@@ -64,6 +67,11 @@
     return this.#lease.token;
   }
 
+  /** Whether this host holds the lease, as far as it has read. */
+  get isHolder(): boolean {
+    return this.#lease.isHolder;
+  }
+
   /** Tells whether this host may give orders now. */
   canOrder(): boolean {
     return !this.#stopping.signal.aborted &&
@@ -98,7 +106,8 @@
       if (append !== undefined) {
         await this.#append(append);
       }
-      await clock.sleep(CHECK_EVERY_MS, signal);
+      const pauseMs = this.isHolder ? CHECK_EVERY_MS : IDLE_EVERY_MS;
+      await clock.sleep(pauseMs, signal);
     }
   }
 
--- a/packages/edge/src/weights/order_keeper.ts
+++ b/packages/edge/src/weights/order_keeper.ts
@@ -25,6 +25,8 @@
 
 /** How often engines and named versions are compared, in milliseconds. */
 const CHECK_EVERY_MS = 50;
+/** The same while another host holds the lease. */
+const IDLE_EVERY_MS = 300;
 /** How long a load takes at least, in milliseconds; no report is asked for before. */
 const LOAD_MS = 800;
 /** The pause between reports of an engine that loads, in milliseconds. */
@@ -78,7 +80,8 @@
       if (lease.canOrder()) {
         this.#decideOrders().forEach((order) => void this.#applyOrder(order));
       }
-      await clock.sleep(CHECK_EVERY_MS, signal);
+      const pauseMs = lease.isHolder ? CHECK_EVERY_MS : IDLE_EVERY_MS;
+      await clock.sleep(pauseMs, signal);
     }
   }
 
--- a/packages/platform/src/names/topics.ts
+++ b/packages/platform/src/names/topics.ts
@@ -11,6 +11,8 @@
 export const KEYED_PREFIX = "keyed.";
 /** Our lots and their results; nothing else reads it. */
 export const LOT_TOPIC = "keyed.lots";
+/** Which lots are open, by model; nothing else reads it. */
+export const LOT_WORK_TOPIC = "keyed.lot-work";
 /** Our leases; nothing else reads it. */
 export const LEASE_TOPIC = "leases";
 
--- a/packages/rollout/src/dispatch/lot_work.ts
+++ b/packages/rollout/src/dispatch/lot_work.ts
@@ -32,6 +32,20 @@
     return this.lot.isOpen;
   }
 
+  /**
+   * Returns the work on a sample, or undefined where it has a settled result from before.
+   *
+   * @param sample - The sample.
+   */
+  getTask(sample: SampleId): SampleTask | undefined {
+    return this.#tasks.get(sample);
+  }
+
+  /** Returns all samples whose work has begun or is still to do. */
+  listTasks(): readonly SampleTask[] {
+    return this.#order;
+  }
+
   /** Returns all samples that have no settled result. */
   listOpen(): readonly SampleTask[] {
     return this.#order.filter(({ request, phase }) =>
--- a/packages/rollout/src/dispatch/sample_task.ts
+++ b/packages/rollout/src/dispatch/sample_task.ts
@@ -33,7 +33,11 @@
   failures = 0;
   /** How many scoring calls failed of themselves. */
   scoringFailures = 0;
-  readonly #texts: string[] = [];
+  /** Whether its text has all its events. */
+  isWhole = false;
+  /** The signature of the scoring answer; empty before. */
+  score = "";
+  #texts: string[] = [];
   readonly #versions = new Set<number>();
   #lastEventId = -1;
 
@@ -77,23 +81,46 @@
 
   /** Drops what was generated, so that it starts anew. */
   clear(): void {
-    this.#texts.length = 0;
+    this.#texts = [];
     this.#versions.clear();
     this.#lastEventId = -1;
+    this.isWhole = false;
+    this.score = "";
   }
 
   /**
-   * Returns the result of a finished sample.
+   * Takes over what another lot's work on the same sample has generated, where
+   * every version that made it is allowed here. A score counts only for the
+   * same scoring request.
    *
-   * @param score - The signature of the scoring answer, or an empty text.
+   * @param other - The other work, which no longer runs.
+   * @param minVersion - The oldest version that may have made an event.
    */
-  toResult(score: string): SampleResult {
+  mergeTask(other: SampleTask, minVersion: number): boolean {
+    const isAllowed = other.#texts.length > 0 &&
+      other.versions.every((version) => version >= minVersion);
+    if (!isAllowed || this.#texts.length > 0) {
+      return false;
+    }
+    this.#texts = [...other.#texts];
+    other.versions.forEach((version) => this.#versions.add(version));
+    this.#lastEventId = other.#lastEventId;
+    this.isWhole = other.isWhole;
+    const isSameScoring =
+      this.request.scoring?.id === other.request.scoring?.id;
+    this.score = isSameScoring ? other.score : "";
+    this.phase = this.isWhole ? "unscored" : "waiting";
+    return true;
+  }
+
+  /** Returns the result of a finished sample. */
+  toResult(): SampleResult {
     return {
       sample: this.request.id,
       state: "completed",
       text: this.#texts.join("\n"),
       versions: this.versions,
-      score,
+      score: this.score,
     };
   }
 
--- a/packages/rollout/test/dispatch/dispatch_test.ts
+++ b/packages/rollout/test/dispatch/dispatch_test.ts
@@ -54,7 +54,7 @@
     b.notBeforeMs = 50;
     assert.equal(work.listWaiting(0).length, 1);
     assert.equal(work.listWaiting(50).length, 2);
-    work.lot.settleResults([b.toResult("s")]);
+    work.lot.settleResults([b.toResult()]);
     assert.equal(work.listWaiting(50).length, 1);
   });
 });
@@ -66,7 +66,7 @@
     const task = new SampleTask(createSample("a", "g", 1));
     task.addEvent(event, 1);
     task.addEvent({ ...event, id: 2, version: 3 }, 1);
-    const { text, versions } = task.toResult("s");
+    const { text, versions } = task.toResult();
     assert.equal(text, "x\nx");
     assert.deepEqual(versions, [2, 3]);
   });
--- a/packages/routing/src/endpoints/endpoint_board.ts
+++ b/packages/routing/src/endpoints/endpoint_board.ts
@@ -16,6 +16,8 @@
 const CROSSING_COST = 0.15;
 /** What a pause after failures costs; only paused endpoints compare by the rest. */
 const PAUSE_COST = 1_000;
+/** What a new connection costs; it delays its first request by a round trip. */
+const CONNECTION_COST = 0.12;
 const JITTER = 0.05;
 
 /** What is asked of a pick. */
@@ -92,6 +94,8 @@
       : CROSSING_COST;
     const pause = load.isPaused(nowMs) ? PAUSE_COST : 0;
     const cold = endpoint.coldMs > 0 ? 1 : 0;
-    return wait + crossing + pause + cold + JITTER * this.#random.getUnit();
+    const connection = load.hasConnection(nowMs) ? 0 : CONNECTION_COST;
+    return wait + crossing + connection + pause + cold +
+      JITTER * this.#random.getUnit();
   }
 }
--- a/packages/routing/src/endpoints/endpoint_load.ts
+++ b/packages/routing/src/endpoints/endpoint_load.ts
@@ -7,6 +7,11 @@
 const SAMPLE_WEIGHT = 0.25;
 /** How long a load report says something, in milliseconds; engines report with a lag of some 200 ms. */
 const REPORT_LIFE_MS = 600;
+/** How long an unused connection is likely kept at both ends, in milliseconds. */
+const CONNECTION_LIFE_MS = 8_000;
+/** The first pause after a refusal, in milliseconds; it doubles up to the longest, below the time of a load of weights. */
+const FIRST_REFUSAL_MS = 40;
+const LONGEST_REFUSAL_MS = 160;
 /** The first pause after a failure, in milliseconds; it doubles up to the longest. */
 const FIRST_PAUSE_MS = 400;
 const LONGEST_PAUSE_MS = 4_000;
@@ -19,6 +24,8 @@
   #inFlight = 0;
   #pace = 1;
   #failures = 0;
+  #refusals = 0;
+  #servedAtMs = -Infinity;
   #pausedUntilMs = 0;
   #reportedAtMs = -Infinity;
   #reported = 0;
@@ -39,6 +46,15 @@
     this.#inFlight++;
   }
 
+  /**
+   * Tells whether a connection from an earlier request is likely still open.
+   *
+   * @param nowMs - The time.
+   */
+  hasConnection(nowMs: number): boolean {
+    return nowMs - this.#servedAtMs < CONNECTION_LIFE_MS;
+  }
+
   /**
    * Counts a request that has ended.
    *
@@ -49,7 +65,13 @@
     this.#inFlight = Math.max(0, this.#inFlight - 1);
     if (outcome === "served") {
       this.#failures = 0;
+      this.#refusals = 0;
+      this.#servedAtMs = nowMs;
       this.#pausedUntilMs = 0;
+    } else if (outcome === "refused") {
+      const pauseMs = FIRST_REFUSAL_MS * 2 ** this.#refusals;
+      this.#refusals++;
+      this.#pausedUntilMs = nowMs + Math.min(pauseMs, LONGEST_REFUSAL_MS);
     } else if (outcome === "unreachable" || outcome === "broken") {
       this.#failures++;
       const pauseMs = FIRST_PAUSE_MS * 2 ** (this.#failures - 1);
@@ -61,21 +83,21 @@
   }
 
   /**
-   * Holds new work back for a while, as the endpoint has refused some.
+   * Records how long work took compared with the usual.
    *
-   * @param untilMs - Until when.
+   * @param ratio - 1 is the usual, 2 is twice as long.
    */
-  suspend(untilMs: number): void {
-    this.#pausedUntilMs = Math.max(this.#pausedUntilMs, untilMs);
+  addPace(ratio: number): void {
+    this.#pace += SAMPLE_WEIGHT * (ratio - this.#pace);
   }
 
   /**
-   * Records how long work took compared with the usual.
+   * Sets how long work takes compared with the usual, where it is measured elsewhere.
    *
    * @param ratio - 1 is the usual, 2 is twice as long.
    */
-  addPace(ratio: number): void {
-    this.#pace += SAMPLE_WEIGHT * (ratio - this.#pace);
+  setPace(ratio: number): void {
+    this.#pace = ratio;
   }
 
   /**
