Keep the progress of long samples in the shared log

Ruled out: keeping every event (bytes for short samples that are sooner made again); keeping them at another host (lost with the power of all). Change: every 700 ms an owner appends what samples have gained in 20 events or more; a new owner resumes from there, 900 ms after an assignment in which the owner before may still run.

--- a/packages/edge/src/lots/create_lot_runner.ts
+++ b/packages/edge/src/lots/create_lot_runner.ts
@@ -5,11 +5,15 @@
 import type { LotAppender } from "./lot_appender.ts";
 import type { LotOwnerOptions } from "./lot_owner.ts";
 import { LotRunner, type LotRunnerOptions } from "./lot_runner.ts";
+import { ProgressKeeper } from "./progress_keeper.ts";
 import { ResultSettler } from "./result_settler.ts";
 
 /** What all runners need. */
-export interface RunnerParts
-  extends Omit<LotRunnerOptions, "settler" | "takeEarlier"> {
+export interface RunnerParts extends
+  Omit<
+    LotRunnerOptions,
+    "settler" | "progress" | "takeEarlier" | "resumeAtMs"
+  > {
   readonly appender: LotAppender;
 }
 
@@ -28,10 +32,11 @@
   parts: RunnerParts,
 ): LotOwnerOptions["createRunner"] {
   const { appender, clock } = parts;
-  return (lot, partition, takeEarlier) =>
+  return (lot, partition, terms) =>
     new LotRunner(lot, {
       ...parts,
-      takeEarlier,
+      ...terms,
+      progress: new ProgressKeeper(lot.id, partition, appender),
       settler: new ResultSettler({
         lot: lot.id,
         partition,
--- a/packages/edge/src/lots/lot_owner.ts
+++ b/packages/edge/src/lots/lot_owner.ts
@@ -10,7 +10,7 @@
 import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
 import type { LotArchive } from "./lot_archive.ts";
 import type { LotPartitions } from "./lot_partitions.ts";
-import type { LotRunner } from "./lot_runner.ts";
+import type { LotRunner, LotRunnerOptions } from "./lot_runner.ts";
 import type { ShardGroup } from "./shard_group.ts";
 import type { WorkShard } from "./work_shard.ts";
 
@@ -32,7 +32,7 @@
   readonly createRunner: (
     lot: LedgerLot,
     partition: number,
-    takeEarlier: (sample: string) => SampleTask | undefined,
+    terms: Pick<LotRunnerOptions, "takeEarlier" | "resumeAtMs">,
   ) => LotRunner;
 }
 
@@ -109,11 +109,10 @@
       }
       open.add(lot.id);
       if (!this.#runners.has(lot.id)) {
-        const runner = createRunner(
-          lot,
-          entry.partition,
-          (sample) => this.#takeEarlier(sample),
-        );
+        const runner = createRunner(lot, entry.partition, {
+          takeEarlier: (sample) => this.#takeEarlier(sample),
+          resumeAtMs: shard.resumeAtMs,
+        });
         this.#runners.set(lot.id, runner);
       }
     }
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -9,6 +9,7 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
 import type { GenerationReport } from "./generation_report.ts";
+import type { ProgressKeeper } from "./progress_keeper.ts";
 import type { ResultSettler } from "./result_settler.ts";
 import {
   RunningSamples,
@@ -25,6 +26,9 @@
 export interface LotRunnerOptions extends RunningSamplesOptions {
   readonly scorer: SampleScorer;
   readonly settler: ResultSettler;
+  readonly progress: ProgressKeeper;
+  /** When samples that another host may still run go on, on the monotonic clock. */
+  readonly resumeAtMs: number;
   readonly getTable: () => RouteTable | undefined;
   /** Takes over what an earlier lot has generated of a sample, which then ends there. */
   readonly takeEarlier: (sample: string) => SampleTask | undefined;
@@ -39,7 +43,7 @@
 
   constructor(lot: LedgerLot, options: LotRunnerOptions) {
     this.#options = options;
-    this.#work = new LotWork(lot);
+    this.#work = new LotWork(lot, options.resumeAtMs);
     this.#runs = new RunningSamples(options, lot);
     const { minVersion, model } = lot.request;
     const merged = this.#work.listTasks().filter((task) => {
@@ -95,6 +99,7 @@
     this.#work.listUnscored(nowMs).forEach((task) => void this.#score(task));
     this.#startWaiting(route, nowMs);
     this.#runs.advanceMoves(route, nowMs);
+    this.#options.progress.advance(this.#work, nowMs);
   }
 
   #startWaiting(route: RouteStructure, nowMs: number): void {
@@ -143,7 +148,7 @@
       this.#dropSample(task, "failed");
       return;
     }
-    if (end === "outdated" || reason === "gap") {
+    if (reason === "gap") {
       task.clear();
     }
     task.phase = "waiting";
--- /dev/null
+++ b/packages/edge/src/lots/progress_keeper.ts
@@ -0,0 +1,55 @@
+/**
+ * Keeps what long samples have generated in the shared log, so that another
+ * host goes on from there when this one is lost.
+ *
+ * Load pattern: all hosts lose power at once while the longest samples of a
+ * step are nearly done; made again from the start they would miss its due time.
+ * @module
+ */
+import type { LotId } from "@briarhill/common/ids/ids";
+import { LOT_TOPIC } from "@briarhill/platform/names/topics";
+import type { LotWork } from "@briarhill/rollout/dispatch/lot_work";
+import { encodeProgress } from "@briarhill/rollout/ledger/lot_record";
+import type { LotAppender } from "./lot_appender.ts";
+
+/** How often progress is kept, in milliseconds; what is newer is made again. */
+const KEEP_EVERY_MS = 700;
+
+/** Keeps the progress of one lot's samples. */
+export class ProgressKeeper {
+  readonly #lot: LotId;
+  readonly #partition: number;
+  readonly #appender: LotAppender;
+  #nextAtMs = 0;
+
+  constructor(lot: LotId, partition: number, appender: LotAppender) {
+    this.#lot = lot;
+    this.#partition = partition;
+    this.#appender = appender;
+  }
+
+  /**
+   * Keeps what is new, where it is time.
+   *
+   * @param work - The work on the lot.
+   * @param nowMs - The time, on the monotonic clock.
+   */
+  advance(work: LotWork, nowMs: number): void {
+    if (nowMs < this.#nextAtMs) {
+      return;
+    }
+    this.#nextAtMs = nowMs + KEEP_EVERY_MS;
+    const progress = work.takeProgress();
+    if (progress.length > 0) {
+      // One try: a piece that is lost makes the later ones of its sample useless, no more.
+      void this.#appender.append(
+        { topic: LOT_TOPIC, partition: this.#partition },
+        (nonce) =>
+          progress.map((one, index) =>
+            encodeProgress([one], { lot: this.#lot, nonce: `${nonce}${index}` })
+          ),
+        nowMs,
+      );
+    }
+  }
+}
--- a/packages/edge/src/lots/shard_group.ts
+++ b/packages/edge/src/lots/shard_group.ts
@@ -18,6 +18,8 @@
 const GROUP_TTL_MS = 2_000;
 /** How often a host says that it is there, in milliseconds. */
 const JOIN_EVERY_MS = 600;
+/** How long the owner before may go on after its shard was assigned anew, in milliseconds: it learns of that at its next join. */
+const HANDOVER_MS = 900;
 /** How long a host runs its lots on while it can't reach the group, in milliseconds. */
 const OWN_UNTIL_MS = 8_000;
 
@@ -39,6 +41,7 @@
   readonly #owned = new Map<number, WorkShard>();
   #onChange: () => void = () => undefined;
   #generation = 0;
+  #hasJoined = false;
   #joinedAtMs = -Infinity;
 
   constructor(options: ShardGroupOptions) {
@@ -117,10 +120,13 @@
       this.#owned.get(one)?.stop();
       this.#owned.delete(one);
     }
-    for (const one of gained) {
-      const onChange = () => this.#onChange();
-      this.#owned.set(one, new WorkShard(one, { ...this.#options, onChange }));
-    }
+    // At the start of a process no other one has run its shards since.
+    const handoverMs = this.#hasJoined ? HANDOVER_MS : 0;
+    this.#hasJoined = true;
+    const resumeAtMs = this.#joinedAtMs + handoverMs;
+    const onChange = () => this.#onChange();
+    const shared = { ...this.#options, resumeAtMs, onChange };
+    gained.forEach((one) => this.#owned.set(one, new WorkShard(one, shared)));
     if (lost.length + gained.length > 0) {
       this.#options.logger.info("partitions-assigned", {
         generation: this.#generation,
--- a/packages/edge/src/lots/work_shard.ts
+++ b/packages/edge/src/lots/work_shard.ts
@@ -18,6 +18,7 @@
   readonly log: SharedLog;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly resumeAtMs: number;
   /** Is called when lots were announced or closed. */
   readonly onChange: () => void;
 }
@@ -25,12 +26,15 @@
 /** One shard of the open lots. */
 export class WorkShard {
   readonly number: number;
+  /** When samples that its owner before may still run go on, on the monotonic clock. */
+  readonly resumeAtMs: number;
   readonly lots = new OpenLots();
   readonly #options: WorkShardOptions;
   readonly #follower: LogFollower;
 
   constructor(number: number, options: WorkShardOptions) {
     this.number = number;
+    this.resumeAtMs = options.resumeAtMs;
     this.#options = options;
     this.#follower = new LogFollower({
       ...options,
--- a/packages/rollout/src/dispatch/lot_work.ts
+++ b/packages/rollout/src/dispatch/lot_work.ts
@@ -9,6 +9,7 @@
  */
 import type { SampleId } from "@briarhill/common/ids/ids";
 import type { LedgerLot } from "../ledger/ledger_lot.ts";
+import type { SampleProgress } from "../ledger/lot_request.ts";
 import { SampleTask } from "./sample_task.ts";
 
 /** The open work of one lot. */
@@ -17,11 +18,22 @@
   readonly #tasks = new Map<SampleId, SampleTask>();
   readonly #order: readonly SampleTask[];
 
-  constructor(lot: LedgerLot) {
+  /**
+   * @param lot - The lot.
+   * @param resumeAtMs - When samples that another host may still run go on from
+   * what it has kept, on the monotonic clock.
+   */
+  constructor(lot: LedgerLot, resumeAtMs: number) {
     this.lot = lot;
     for (const sample of lot.request.samples) {
       if (!lot.isSettled(sample.id)) {
-        this.#tasks.set(sample.id, new SampleTask(sample));
+        const task = new SampleTask(sample);
+        const progress = lot.getProgress(sample.id);
+        if (progress !== undefined) {
+          task.resume(progress);
+          task.notBeforeMs = resumeAtMs;
+        }
+        this.#tasks.set(sample.id, task);
       }
     }
     this.#order = sortTasks([...this.#tasks.values()]);
@@ -64,6 +76,11 @@
     );
   }
 
+  /** Returns what samples have gained since they were last kept, where it is worth keeping. */
+  takeProgress(): readonly SampleProgress[] {
+    return this.listOpen().flatMap((task) => task.takeProgress() ?? []);
+  }
+
   /**
    * Returns the samples that may be scored now.
    *
--- a/packages/rollout/src/dispatch/sample_task.ts
+++ b/packages/rollout/src/dispatch/sample_task.ts
@@ -2,7 +2,11 @@
  * The work on one sample: what was generated so far, and what failed.
  * @module
  */
-import type { SampleRequest, SampleResult } from "../ledger/lot_request.ts";
+import type {
+  SampleProgress,
+  SampleRequest,
+  SampleResult,
+} from "../ledger/lot_request.ts";
 
 /** Where the work on a sample stands. */
 export type SamplePhase =
@@ -12,6 +16,9 @@
   | "scoring"
   | "done";
 
+/** Fewer events are sooner generated again than kept. */
+const MIN_PROGRESS_EVENTS = 20;
+
 /** One event of a stream. */
 export interface GeneratedEvent {
   readonly id: number;
@@ -40,6 +47,8 @@
   #texts: string[] = [];
   readonly #versions = new Set<number>();
   #lastEventId = -1;
+  /** How many events the shared log holds. */
+  #keptCount = 0;
 
   constructor(request: SampleRequest) {
     this.request = request;
@@ -86,6 +95,36 @@
     this.#lastEventId = -1;
     this.isWhole = false;
     this.score = "";
+    // The log's events no longer belong to this text.
+    this.#keptCount = Infinity;
+  }
+
+  /** Returns the events that the shared log lacks, or undefined where they are too few. */
+  takeProgress(): SampleProgress | undefined {
+    const fromEvent = this.#keptCount;
+    if (this.#texts.length < fromEvent + MIN_PROGRESS_EVENTS) {
+      return undefined;
+    }
+    this.#keptCount = this.#texts.length;
+    return {
+      sample: this.request.id,
+      fromEvent,
+      texts: this.#texts.slice(fromEvent),
+      lastEventId: this.#lastEventId,
+      versions: this.versions,
+    };
+  }
+
+  /**
+   * Goes on from what the shared log holds.
+   *
+   * @param progress - What it holds.
+   */
+  resume(progress: SampleProgress): void {
+    this.#texts = [...progress.texts];
+    progress.versions.forEach((version) => this.#versions.add(version));
+    this.#lastEventId = progress.lastEventId;
+    this.#keptCount = progress.texts.length;
   }
 
   /**
--- a/packages/rollout/src/ledger/ledger_lot.ts
+++ b/packages/rollout/src/ledger/ledger_lot.ts
@@ -3,7 +3,11 @@
  * @module
  */
 import type { LotId, SampleId } from "@briarhill/common/ids/ids";
-import type { LotRequest, SampleResult } from "./lot_request.ts";
+import type {
+  LotRequest,
+  SampleProgress,
+  SampleResult,
+} from "./lot_request.ts";
 
 /** One lot as the shared log tells it: its samples, its settled results, whether it has ended. */
 export class LedgerLot {
@@ -13,6 +17,7 @@
   readonly #results: SampleResult[] = [];
   readonly #settled = new Set<SampleId>();
   readonly #samples: ReadonlySet<SampleId>;
+  readonly #progress = new Map<SampleId, SampleProgress>();
   #hasEnded = false;
 
   constructor(request: LotRequest) {
@@ -69,13 +74,43 @@
       const { sample } = result;
       if (this.#samples.has(sample) && !this.#settled.has(sample)) {
         this.#settled.add(sample);
+        this.#progress.delete(sample);
         this.#results.push(result);
       }
     }
   }
 
+  /**
+   * Adds what was generated of samples; what does not follow on the events
+   * known so far is ignored.
+   *
+   * @param progress - What the samples have gained.
+   */
+  addProgress(progress: readonly SampleProgress[]): void {
+    for (const next of progress) {
+      const known = this.#progress.get(next.sample);
+      const count = known?.texts.length ?? 0;
+      const isUseful = this.#samples.has(next.sample) &&
+        !this.#settled.has(next.sample) && !this.#hasEnded;
+      if (isUseful && next.fromEvent === count) {
+        const texts = [...known?.texts ?? [], ...next.texts];
+        this.#progress.set(next.sample, { ...next, fromEvent: 0, texts });
+      }
+    }
+  }
+
+  /**
+   * Returns what was generated of a sample that has no result, if anything.
+   *
+   * @param sample - The sample.
+   */
+  getProgress(sample: SampleId): SampleProgress | undefined {
+    return this.#progress.get(sample);
+  }
+
   /** Ends the lot; results that are settled later are still listed. */
   close(): void {
     this.#hasEnded = true;
+    this.#progress.clear();
   }
 }
--- a/packages/rollout/src/ledger/lot_ledger.ts
+++ b/packages/rollout/src/ledger/lot_ledger.ts
@@ -7,7 +7,11 @@
 import { Buffer } from "node:buffer";
 import { LedgerLot } from "./ledger_lot.ts";
 import { type LotRecordKey, parseLotKey } from "./lot_record.ts";
-import type { LotRequest, SampleResult } from "./lot_request.ts";
+import type {
+  LotRequest,
+  SampleProgress,
+  SampleResult,
+} from "./lot_request.ts";
 
 /**
  * The lots of one partition. Every host that has applied the same records
@@ -40,11 +44,7 @@
       return undefined;
     }
     lot.addKey(record.key);
-    if (key.kind === "end") {
-      lot.close();
-    } else {
-      lot.settleResults(JSON.parse(record.value.toString()) as SampleResult[]);
-    }
+    applyToLot(lot, key.kind, record);
     return lot;
   }
 
@@ -92,3 +92,18 @@
     return lot;
   }
 }
+
+/** Only hosts write these records, so that their form is known. */
+function applyToLot(
+  lot: LedgerLot,
+  kind: LotRecordKey["kind"],
+  { value }: LogRecord,
+): void {
+  if (kind === "end") {
+    lot.close();
+  } else if (kind === "progress") {
+    lot.addProgress(JSON.parse(value.toString()) as SampleProgress[]);
+  } else {
+    lot.settleResults(JSON.parse(value.toString()) as SampleResult[]);
+  }
+}
--- a/packages/rollout/src/ledger/lot_record.ts
+++ b/packages/rollout/src/ledger/lot_record.ts
@@ -8,7 +8,11 @@
 import type { NewLogRecord } from "@briarhill/common/log/shared_log";
 import { InputError } from "@briarhill/common/errors/errors";
 import { Buffer } from "node:buffer";
-import type { LotRequest, SampleResult } from "./lot_request.ts";
+import type {
+  LotRequest,
+  SampleProgress,
+  SampleResult,
+} from "./lot_request.ts";
 
 const SEPARATOR = "|";
 /** Leaves room for the rest of the key and the length of the frame. */
@@ -16,7 +20,7 @@
 
 /** What the key of a record says. */
 export interface LotRecordKey {
-  readonly kind: "lot" | "results" | "end";
+  readonly kind: "lot" | "results" | "progress" | "end";
   readonly lot: LotId;
   /** Differs for each append, so that no key is written twice. */
   readonly nonce: string;
@@ -49,12 +53,16 @@
  */
 export function parseLotKey(text: string): LotRecordKey {
   const [lot = "", kind, nonce = "", part, parts] = text.split(SEPARATOR);
-  if (kind !== "lot" && kind !== "results" && kind !== "end") {
+  if (!isKind(kind)) {
     throw new InputError(`the key "${text}" names no kind of record`);
   }
   return { kind, lot, nonce, part: Number(part), parts: Number(parts) };
 }
 
+function isKind(text: string | undefined): text is LotRecordKey["kind"] {
+  return ["lot", "results", "progress", "end"].includes(text ?? "");
+}
+
 /** How records are cut and told apart. */
 export interface LotRecordOptions {
   readonly nonce: string;
@@ -115,6 +123,27 @@
   };
 }
 
+/**
+ * Returns the record of samples that are still generated.
+ *
+ * @example
+ * ```ts
+ * const record = encodeProgress([], { lot: "a", nonce: "n" });
+ * ```
+ * @param progress - What the samples have gained since their last record.
+ * @param options - The lot, and what tells this append from others.
+ */
+export function encodeProgress(
+  progress: readonly SampleProgress[],
+  options: { readonly lot: LotId; readonly nonce: string },
+): NewLogRecord {
+  const { lot, nonce } = options;
+  return {
+    key: formatLotKey({ kind: "progress", lot, nonce, part: 0, parts: 1 }),
+    value: Buffer.from(JSON.stringify(progress)),
+  };
+}
+
 /**
  * Returns the record that ends a lot.
  *
--- a/packages/rollout/src/ledger/lot_request.ts
+++ b/packages/rollout/src/ledger/lot_request.ts
@@ -45,6 +45,18 @@
   readonly samples: readonly SampleRequest[];
 }
 
+/** Events of a sample that is still generated, kept for the case that its host is lost. */
+export interface SampleProgress {
+  readonly sample: SampleId;
+  /** How many events come before these. */
+  readonly fromEvent: number;
+  /** The data of each event. */
+  readonly texts: readonly string[];
+  readonly lastEventId: number;
+  /** The versions that made an event of the text so far. */
+  readonly versions: readonly number[];
+}
+
 /** The final result of a sample. */
 export interface SampleResult {
   readonly sample: SampleId;
--- a/packages/rollout/test/ledger/lot_ledger_test.ts
+++ b/packages/rollout/test/ledger/lot_ledger_test.ts
@@ -6,6 +6,7 @@
 import {
   encodeEnd,
   encodeLot,
+  encodeProgress,
   encodeResults,
 } from "../../src/ledger/lot_record.ts";
 import type { LotRequest, SampleResult } from "../../src/ledger/lot_request.ts";
@@ -135,3 +136,37 @@
     );
   });
 });
+
+describe("LedgerLot.getProgress", () => {
+  function createProgress(fromEvent: number, texts: readonly string[]) {
+    const lastEventId = fromEvent + texts.length - 1;
+    return { sample: "a", fromEvent, texts, lastEventId, versions: [1] };
+  }
+
+  function encodeAll(...pieces: ReturnType<typeof createProgress>[]) {
+    return applyAll(createLog([
+      ...encode(createLot(), "n"),
+      ...pieces.map((piece, index) =>
+        encodeProgress([piece], { lot: "lot", nonce: `p${index}` })
+      ),
+    ])).getLot("lot");
+  }
+
+  it("joins pieces that follow on one another and ignores the rest", () => {
+    const lot = encodeAll(
+      createProgress(0, ["x", "y"]),
+      createProgress(0, ["other"]),
+      createProgress(5, ["gap"]),
+      createProgress(2, ["z"]),
+    );
+    const progress = lot?.getProgress("a");
+    assert.deepEqual(progress?.texts, ["x", "y", "z"]);
+    assert.equal(progress?.lastEventId, 2);
+  });
+
+  it("forgets it once the sample has a result", () => {
+    const lot = encodeAll(createProgress(0, ["x"]));
+    lot?.settleResults([createResult("a", "whole")]);
+    assert.equal(lot?.getProgress("a"), undefined);
+  });
+});
