Test a host end to end against stand-ins that speak the platform's protocol

Cause: the path on the platform had tests of its decisions only, and no metrics. Change: stand-ins in packages/fakes/src/platform; ten end-to-end cases (calls, lots at two hosts, broken streams, a store that turns one host away, lost answers, dropped history, orders of one holder); counters and histograms on the metrics address; a stopping host stays 3.2 s for the balancer. Found on the way: a lot that runs while another host joins is begun twice, as its shard passes on; allowed, but wasted runs. The fixture waits until shares are settled, the check of six runs for six samples stays.

--- /dev/null
+++ b/packages/common/src/http/open_server.ts
@@ -0,0 +1,34 @@
+/**
+ * Opens servers.
+ * @module
+ */
+import type { Server } from "node:net";
+import { SettingsError } from "../errors/errors.ts";
+import type { HttpAddress } from "./http_exchange.ts";
+
+/**
+ * Opens a server; an address that can't be listened on is a {@link SettingsError}.
+ *
+ * @example
+ * ```ts
+ * import { createServer } from "node:http";
+ *
+ * await openServer(createServer(), { hostname: "127.0.0.1", port: 0 });
+ * ```
+ * @param server - The server.
+ * @param address - Where it listens.
+ */
+export function openServer(
+  server: Server,
+  { hostname, port }: HttpAddress,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", (error) =>
+      reject(
+        new SettingsError(`can't listen on ${hostname}:${port}`, {
+          cause: error,
+        }),
+      ));
+    server.listen(port, hostname, () => resolve());
+  });
+}
--- /dev/null
+++ b/packages/common/src/metrics/counter_registry.ts
@@ -0,0 +1,43 @@
+/**
+ * Counters with one label each.
+ * @module
+ */
+
+const PREFIX = "briarhill_";
+
+/** All counters of a process. */
+export class CounterRegistry {
+  readonly #counters = new Map<string, Map<string, number>>();
+
+  /**
+   * Counts one event.
+   *
+   * @param metric - The metric's name in the catalogue, such as "calls_total".
+   * @param label - What kind of event, such as "answered".
+   */
+  addOne(metric: string, label: string): void {
+    const counter = this.#counters.get(metric) ?? new Map<string, number>();
+    this.#counters.set(metric, counter);
+    counter.set(label, (counter.get(label) ?? 0) + 1);
+  }
+
+  /**
+   * Returns the value of a counter.
+   *
+   * @param metric - The metric's name.
+   * @param label - What kind of event.
+   */
+  getCount(metric: string, label: string): number {
+    return this.#counters.get(metric)?.get(label) ?? 0;
+  }
+
+  /** Returns all counters as Prometheus text. */
+  formatCounters(): string {
+    return [...this.#counters].map(([metric, counter]) => {
+      const lines = [...counter].map(([label, count]) =>
+        `${PREFIX}${metric}{kind=${JSON.stringify(label)}} ${count}\n`
+      );
+      return `# TYPE ${PREFIX}${metric} counter\n${lines.join("")}`;
+    }).join("");
+  }
+}
--- a/packages/node/src/admin/metrics_format.ts
+++ b/packages/common/src/metrics/metrics_format.ts
@@ -2,7 +2,7 @@
  * Histograms as Prometheus text.
  * @module
  */
-import type { HistogramSummary } from "@briarhill/common/metrics/histogram_registry";
+import type { HistogramSummary } from "./histogram_registry.ts";
 
 const PREFIX = "briarhill_";
 
--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -9,6 +9,7 @@
   encodeReturnedHeaders,
 } from "@briarhill/platform/ingress/request_head";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
+import type { HostMetrics } from "../observe/host_metrics.ts";
 import type { EndpointSender } from "./endpoint_sender.ts";
 import type { CallForwarder, ForwardReport } from "./call_forwarder.ts";
 import { writeOwnReply, writeWhole } from "./caller_reply.ts";
@@ -29,6 +30,7 @@
   readonly logger: Logger;
   readonly forwarder: CallForwarder;
   readonly sender: EndpointSender;
+  readonly metrics: HostMetrics;
 }
 
 /** Answers live callers from endpoints. */
@@ -59,7 +61,7 @@
     exchange: RoutedExchange,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock, forwarder } = this.#options;
+    const { clock, forwarder, metrics } = this.#options;
     const { request, response, route, head, arrivedAtMs } = exchange;
     const callerDeadlineMs = arrivedAtMs + head.deadlineMs;
     const report = await forwarder.forward({
@@ -91,6 +93,7 @@
       this.#writeFailure(exchange, outcome);
     }
     const tookMs = clock.getMonotonicMs() - arrivedAtMs;
+    metrics.addCall(route.name, outcome.kind, tookMs);
     this.#logReport(exchange, report, tookMs);
   }
 
--- a/packages/edge/src/http/caller_listener.ts
+++ b/packages/edge/src/http/caller_listener.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
+import { openServer } from "@briarhill/common/http/open_server";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { CallerLimits } from "@briarhill/routing/table/route";
 import { createServer, type Server } from "node:http";
@@ -66,7 +67,7 @@
     }
   }
 
-  #open({ hostname, port }: HttpAddress): Promise<Server> {
+  async #open(address: HttpAddress): Promise<Server> {
     const server = createServer({
       maxHeaderSize: FIRST_LIMITS.maxHeaderBytes,
       requestTimeout: 0,
@@ -82,9 +83,7 @@
       this.#logger.error("request-unreadable", error);
       socket.destroy();
     });
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, hostname, () => resolve(server));
-    });
+    await openServer(server, address);
+    return server;
   }
 }
--- a/packages/edge/src/lots/lot_routes.ts
+++ b/packages/edge/src/lots/lot_routes.ts
@@ -11,6 +11,7 @@
 import { Buffer } from "node:buffer";
 import { writeOwnReply, writeWhole } from "../calls/caller_reply.ts";
 import type { CallerExchange, RoutedExchange } from "../calls/ingress.ts";
+import type { HostMetrics } from "../observe/host_metrics.ts";
 import type { LotAnswer, LotDesk } from "./lot_desk.ts";
 
 /** The longest try to keep a lot, in milliseconds: the store is seldom away longer. */
@@ -29,6 +30,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly desk: LotDesk;
+  readonly metrics: HostMetrics;
 }
 
 /** Answers trainers' calls about lots. */
@@ -45,7 +47,7 @@
    * @param exchange - The request.
    */
   async handleHandIn(exchange: RoutedExchange): Promise<void> {
-    const { clock, desk, logger } = this.#options;
+    const { clock, desk, logger, metrics } = this.#options;
     const { request, response, head, arrivedAtMs, body } = exchange;
     const lot = decodeLot(body, {
       id: head.attemptId,
@@ -55,13 +57,15 @@
     });
     const boundMs = Math.min(ACCEPT_BOUND_MS, head.deadlineMs - RETURN_MS);
     const outcome = await desk.admitLot(lot, arrivedAtMs + boundMs);
+    const tookMs = clock.getMonotonicMs() - arrivedAtMs;
+    metrics.addHandIn(exchange.route.name, outcome, tookMs);
     logger.info("lot-handed-in", {
       lot: lot.id,
       outcome,
       samples: lot.samples.length,
       model: lot.model,
       minVersion: lot.minVersion,
-      tookMs: Math.round(clock.getMonotonicMs() - arrivedAtMs),
+      tookMs: Math.round(tookMs),
     });
     if (outcome === "appended") {
       writeWhole(response, { status: 202, headers: [], body: Buffer.alloc(0) });
--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -10,6 +10,7 @@
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { EndpointSender } from "../calls/endpoint_sender.ts";
+import type { HostMetrics } from "../observe/host_metrics.ts";
 import type { EnginePicker } from "./engine_picker.ts";
 import type { GenerationReport } from "./generation_report.ts";
 import { runGeneration } from "./sample_generation.ts";
@@ -27,6 +28,7 @@
   readonly logger: Logger;
   readonly sender: EndpointSender;
   readonly picker: EnginePicker;
+  readonly metrics: HostMetrics;
 }
 
 /** One run of a sample at an engine. */
@@ -168,7 +170,7 @@
   }
 
   #recordRun(run: SampleRun, report: GenerationReport): void {
-    const { clock, logger, picker } = this.#options;
+    const { clock, logger, picker, metrics } = this.#options;
     const { task, endpoint } = run;
     const nowMs = clock.getMonotonicMs();
     const tookMs = nowMs - run.startedAtMs;
@@ -178,6 +180,7 @@
       nowMs,
       tokens: report.end === "finished" ? task.request.expectedTokens : 0,
     });
+    metrics.addRun(this.#lot.request.model, report.end, tookMs);
     logger.info("sample-run-ended", {
       lot: this.#lot.id,
       sample: task.request.id,
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -12,6 +12,8 @@
 import { LiveCalls } from "../calls/live_calls.ts";
 import { CallerListener } from "../http/caller_listener.ts";
 import { LotRoutes } from "../lots/lot_routes.ts";
+import { HostMetrics } from "../observe/host_metrics.ts";
+import { MetricsListener } from "../observe/metrics_listener.ts";
 import type { HostSettings } from "../settings/host_settings.ts";
 import type { HostContext } from "./host_context.ts";
 import { createServing, type Serving } from "./serving.ts";
@@ -19,7 +21,7 @@
 import { createTraining, type Training } from "./training.ts";
 
 /** How long a stopping host still accepts connections, in milliseconds: the balancer asks each second and needs two misses. */
-const BALANCER_MS = 2_600;
+const BALANCER_MS = 3_200;
 /** How often a stopping host looks whether its requests have ended, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
 /** Time kept for the end of the process, in milliseconds. */
@@ -36,6 +38,7 @@
   readonly #training: Training;
   readonly #ingress: Ingress;
   readonly #callers: CallerListener;
+  readonly #metrics: MetricsListener;
   #isStopping = false;
 
   constructor(settings: HostSettings, logger: Logger) {
@@ -59,13 +62,15 @@
       lotRoutes: new LotRoutes({ ...context, desk: this.#training.desk }),
     });
     this.#callers = new CallerListener(this.#ingress, logger);
+    this.#metrics = new MetricsListener(context.metrics);
   }
 
   /** Opens all listeners and begins to work. */
   async start(): Promise<void> {
-    const { callers, health, peers } = this.#settings;
+    const { callers, health, peers, metrics } = this.#settings;
     await this.#callers.start([callers, health]);
     await this.#store.relay.start(peers);
+    await this.#metrics.start(metrics);
     this.#serving.published.start();
     this.#store.peers.start();
     this.#training.owner.start();
@@ -105,8 +110,12 @@
       tookMs: Math.round(this.#clock.getMonotonicMs() - startMs),
     });
     this.#store.relay.close();
+    this.#store.peers.stop();
+    this.#metrics.close();
     this.#training.partitions.stop();
     this.#serving.published.stop();
+    this.#serving.sender.close();
+    this.#store.transport.close();
     await this.#clock.sleep(DRAIN_CHECK_MS);
   }
 
@@ -123,6 +132,7 @@
     logger,
     clock: new SystemClock(),
     random: new SeededRandom(hashText(self)),
+    metrics: new HostMetrics(),
     self,
   };
 }
--- a/packages/edge/src/node/store_access.ts
+++ b/packages/edge/src/node/store_access.ts
@@ -14,6 +14,7 @@
   readonly log: SharedLog;
   readonly peers: PeerList;
   readonly relay: RelayListener;
+  readonly transport: RelayedTransport;
 }
 
 /**
@@ -37,5 +38,6 @@
   });
   const log = new StoreLog(transport);
   const peers: PeerList = new PeerList({ ...context, log });
-  return { log, peers, relay: new RelayListener(transport, logger) };
+  const relay = new RelayListener(transport, logger);
+  return { log, peers, relay, transport };
 }
--- /dev/null
+++ b/packages/edge/src/observe/metrics_listener.ts
@@ -0,0 +1,42 @@
+/**
+ * Serves the metrics of a host.
+ * @module
+ */
+import type { HttpAddress } from "@briarhill/common/http/http_exchange";
+import { openServer } from "@briarhill/common/http/open_server";
+import { createServer, type Server } from "node:http";
+import type { HostMetrics } from "./host_metrics.ts";
+
+const METRICS_PATH = "/metrics";
+const STATUS_NOT_FOUND = 404;
+
+/** Serves the metrics of a host. */
+export class MetricsListener {
+  readonly #server: Server;
+
+  constructor(metrics: HostMetrics) {
+    this.#server = createServer((request, response) => {
+      if (request.url !== METRICS_PATH) {
+        response.writeHead(STATUS_NOT_FOUND).end();
+        return;
+      }
+      response.writeHead(200, { "content-type": "text/plain" })
+        .end(metrics.formatAll());
+    });
+  }
+
+  /**
+   * Listens for readers.
+   *
+   * @param address - Where.
+   */
+  start(address: HttpAddress): Promise<void> {
+    return openServer(this.#server, address);
+  }
+
+  /** Stops listening. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- a/packages/edge/src/peers/peer_list.ts
+++ b/packages/edge/src/peers/peer_list.ts
@@ -28,6 +28,7 @@
 export class PeerList {
   readonly #options: PeerListOptions;
   #hosts: ReadonlySet<string>;
+  readonly #stopping = new AbortController();
   #turn = 0;
 
   constructor(options: PeerListOptions) {
@@ -49,10 +50,17 @@
     void this.#run();
   }
 
+  /** Reads the list no more. */
+  stop(): void {
+    this.#stopping.abort();
+  }
+
   async #run(): Promise<void> {
     const { clock, log, logger, settings, random } = this.#options;
-    while (true) {
-      await clock.sleep(REFRESH_EVERY_MS * (0.5 + random.getUnit()));
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      const pauseMs = REFRESH_EVERY_MS * (0.5 + random.getUnit());
+      await clock.sleep(pauseMs, signal);
       try {
         const members = await log.listMembers(LOT_GROUP);
         this.#hosts = new Set([...members, ...settings.seeds]);
--- a/packages/edge/src/peers/relay_listener.ts
+++ b/packages/edge/src/peers/relay_listener.ts
@@ -4,6 +4,7 @@
  */
 import { PortError } from "@briarhill/common/errors/errors";
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
+import { openServer } from "@briarhill/common/http/open_server";
 import { readBody } from "@briarhill/common/http/http_sender";
 import type { Logger } from "@briarhill/common/logging/logger";
 import {
@@ -36,11 +37,8 @@
    *
    * @param address - Where.
    */
-  start({ hostname, port }: HttpAddress): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, hostname, () => resolve());
-    });
+  start(address: HttpAddress): Promise<void> {
+    return openServer(this.#server, address);
   }
 
   /** Stops listening. */
--- a/packages/edge/src/settings/host_settings.ts
+++ b/packages/edge/src/settings/host_settings.ts
@@ -20,6 +20,8 @@
   readonly health: HttpAddress;
   /** Where other hosts connect. */
   readonly peers: HttpAddress;
+  /** Where metrics are read. */
+  readonly metrics: HttpAddress;
   /** The IP addresses of a few hosts, which may be stale. */
   readonly seeds: readonly string[];
   readonly store: HttpAddress;
@@ -60,6 +62,7 @@
     callers: values.getAddress("listen", "callers"),
     health: values.getAddress("listen", "health"),
     peers: values.getAddress("listen", "peers"),
+    metrics: values.getAddress("listen", "metrics"),
     seeds: values.listHosts("listen", "seeds"),
     store: values.getAddress("store", "address"),
     storePartitions: values.getInteger("store", "partitions"),
--- a/packages/edge/src/weights/order_keeper.ts
+++ b/packages/edge/src/weights/order_keeper.ts
@@ -21,6 +21,7 @@
 import type { RouteTable } from "@briarhill/routing/table/route_table";
 import type { EndpointSender } from "../calls/endpoint_sender.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
+import type { HostMetrics } from "../observe/host_metrics.ts";
 import type { LeaseKeeper } from "./lease_keeper.ts";
 
 /** How often engines and named versions are compared, in milliseconds. */
@@ -45,6 +46,7 @@
   readonly directory: EndpointDirectory;
   readonly sender: EndpointSender;
   readonly holder: string;
+  readonly metrics: HostMetrics;
   readonly getTable: () => RouteTable | undefined;
   readonly getVersions: () => ReadonlyMap<string, number>;
 }
@@ -157,7 +159,7 @@
     order: LoadOrder,
     { orderCount }: EngineReport,
   ): Promise<void> {
-    const { lease, sender, holder, logger } = this.#options;
+    const { lease, sender, holder, logger, metrics } = this.#options;
     if (!lease.canOrder()) {
       return;
     }
@@ -174,6 +176,7 @@
         CALL_TIMEOUT_MS,
       );
       const reply = decodeOrderReply(status);
+      metrics.addOrder(reply);
       logger.info("engine-ordered", {
         ...order,
         orderCount,
@@ -184,6 +187,7 @@
       if (!(error instanceof PortError)) {
         throw error;
       }
+      metrics.addOrder("unanswered");
       // It may be carried out late: the engine's reports tell.
       logger.error("engine-order-unanswered", error, { ...order, orderCount });
     }
--- /dev/null
+++ b/packages/edge/test/node/platform_configuration.ts
@@ -0,0 +1,39 @@
+/** The host that the routes of {@link createConfiguration} belong to. */
+export const SERVICE_HOST = "app.example";
+
+/** Returns a configuration with one plain service and one service of engines. */
+export function createConfiguration() {
+  const common = { host: SERVICE_HOST, sloMs: 200, priority: 1 };
+  return {
+    version: 3,
+    routes: [{
+      ...common,
+      name: "app",
+      pathPrefix: "/app/",
+      type: "idempotent",
+      timeoutMs: 2_000,
+      service: "app",
+      maxAttempts: 2,
+    }, {
+      ...common,
+      name: "rollout",
+      pathPrefix: "/rollout/",
+      type: "rollout",
+      timeoutMs: 10_000,
+      service: "engines",
+      maxAttempts: 3,
+      dueMs: 7_500,
+      retentionS: 40,
+    }],
+    services: [
+      { name: "app", healthPath: "/healthz", maxConns: 100 },
+      {
+        name: "engines",
+        healthPath: "/healthz",
+        maxConns: 100,
+        engine: { models: [{ name: "m0" }] },
+      },
+    ],
+    limits: {},
+  };
+}
--- a/packages/node/src/admin/admin_routes.ts
+++ b/packages/node/src/admin/admin_routes.ts
@@ -6,7 +6,7 @@
 import type { Exchange } from "../http/exchange.ts";
 import type { HttpListener } from "../http/http_listener.ts";
 import type { NodeContext } from "../node/node_context.ts";
-import { formatMetrics } from "./metrics_format.ts";
+import { formatMetrics } from "@briarhill/common/metrics/metrics_format";
 import type { Readiness } from "./readiness.ts";
 
 /** Probes and metrics. */
--- a/packages/style/src/catalogue/named_in_code.ts
+++ b/packages/style/src/catalogue/named_in_code.ts
@@ -8,7 +8,7 @@
 
 const LOG_METHODS = ["info", "warn", "error"];
 const METRIC_NAME = /^[a-z]+(_[a-z]+)+$/;
-const METRICS_PATH = /^packages\/node\/src\/.*_metrics\.ts$/;
+const METRICS_PATH = /^packages\/(node|edge)\/src\/.*_metrics\.ts$/;
 const ERRORS_PATH = "packages/common/src/errors/errors.ts";
 
 /** A name and the line on which it stands. */
