--- a/packages/common/src/metrics/histogram_registry.ts
+++ b/packages/common/src/metrics/histogram_registry.ts
@@ -2,11 +2,17 @@
  * Histograms for each customer and class, by hdr-histogram-js.
  * @module
  */
-import { build, type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// The package's main module brings codecs that take 9 MB more of memory.
+import { constructorFromBucketSize } from "hdr-histogram-js/dist/JsHistogramFactory.js";
 import type { CustomerId, RequestClass } from "../ids/ids.ts";
 
 const HIGHEST_TRACKABLE_VALUE = 3_600_000;
+const LOWEST_DISCERNIBLE_VALUE = 1;
 const SIGNIFICANT_DIGITS = 2;
+const COUNT_BITS = 32;
+
+const HistogramOfCounts = constructorFromBucketSize(COUNT_BITS);
 
 /** What a histogram measures, of whom. */
 export interface HistogramKey {
@@ -66,12 +72,12 @@
     if (found !== undefined) {
       return found.histogram;
     }
-    const histogram = build({
-      bitBucketSize: "packed",
-      autoResize: true,
-      highestTrackableValue: HIGHEST_TRACKABLE_VALUE,
-      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-    });
+    const histogram = new HistogramOfCounts(
+      LOWEST_DISCERNIBLE_VALUE,
+      HIGHEST_TRACKABLE_VALUE,
+      SIGNIFICANT_DIGITS,
+    );
+    histogram.autoResize = true;
     this.#histograms.set(id, { key, histogram });
     return histogram;
   }
--- a/packages/edge/src/lots/engine_picker.ts
+++ b/packages/edge/src/lots/engine_picker.ts
@@ -40,6 +40,8 @@
   readonly #options: EnginePickerOptions;
   readonly #pace = new EnginePace();
   #eventTokens = FIRST_EVENT_TOKENS;
+  #homesKey = "";
+  #homes: ReturnType<typeof assignEngines> = new Map();
 
   constructor(options: EnginePickerOptions) {
     this.#options = options;
@@ -123,6 +125,20 @@
     });
   }
 
+  /** Assigns anew only when engines or models have changed. */
+  #assignHomes(
+    models: readonly string[],
+    engines: readonly EndpointStructure[],
+  ): ReturnType<typeof assignEngines> {
+    const ids = engines.map(({ id }) => id);
+    const key = `${models.join()} ${ids.join()}`;
+    if (key !== this.#homesKey) {
+      this.#homes = assignEngines(models, ids);
+      this.#homesKey = key;
+    }
+    return this.#homes;
+  }
+
   #listEngines(
     lot: LotRequest,
     route: RouteStructure,
@@ -133,7 +149,7 @@
     const engines = directory.listEndpoints(service);
     const models = getTable()?.getService(service)?.models ?? [];
     const nowMs = clock.getMonotonicMs();
-    const homes = assignEngines(models, engines.map(({ id }) => id));
+    const homes = this.#assignHomes(models, engines);
     return listEngines({
       engines,
       model,
--- a/packages/edge/src/lots/generation_reader.ts
+++ b/packages/edge/src/lots/generation_reader.ts
@@ -28,6 +28,7 @@
   readonly #options: GenerationReaderOptions;
   readonly #decoder = new EventDecoder();
   #silence: Timer | undefined;
+  #lastDataMs = 0;
   #early: GenerationReport | undefined;
 
   constructor(options: GenerationReaderOptions) {
@@ -42,9 +43,10 @@
   readEvents(headVersion: number): Promise<GenerationReport> {
     const { stream } = this.#options;
     let version = headVersion;
-    this.#startSilence();
+    this.#lastDataMs = this.#options.clock.getMonotonicMs();
+    this.#scheduleSilence();
     stream.on("data", (bytes: Buffer) => {
-      this.#startSilence();
+      this.#lastDataMs = this.#options.clock.getMonotonicMs();
       version = this.#addBytes(bytes, version);
     });
     return new Promise((resolve, reject) => {
@@ -76,11 +78,17 @@
     return version;
   }
 
-  #startSilence(): void {
-    this.#silence?.cancel();
-    this.#silence = this.#options.clock.setTimer(
-      SILENCE_MS,
-      () => this.#close({ end: "broken", reason: "silent" }),
+  /** Sets one timer for the whole pause and again for what is left of it, not one for each event. */
+  #scheduleSilence(): void {
+    const { clock } = this.#options;
+    const silentMs = clock.getMonotonicMs() - this.#lastDataMs;
+    if (silentMs >= SILENCE_MS) {
+      this.#close({ end: "broken", reason: "silent" });
+      return;
+    }
+    this.#silence = clock.setTimer(
+      SILENCE_MS - silentMs,
+      () => this.#scheduleSilence(),
     );
   }
 
--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -17,6 +17,8 @@
 
 /** A run is expected to be at least this long, in events. */
 const MIN_EXPECTED_EVENTS = 8;
+/** How often stragglers are looked for, in milliseconds; some three events. */
+const MOVES_EVERY_MS = 100;
 /** The longest run of a sample at one engine, in milliseconds. */
 const RUN_BOUND_MS = 15_000;
 /** The urgency of requests that say nothing. */
@@ -51,6 +53,7 @@
   /** Where runs that were ended for a move go on. */
   readonly #targets = new Map<string, EndpointStructure>();
   #hasEnded = false;
+  #nextMovesAtMs = 0;
 
   constructor(options: RunningSamplesOptions, lot: LedgerLot) {
     this.#options = options;
@@ -86,6 +89,10 @@
    * @param nowMs - The time, on the monotonic clock.
    */
   advanceMoves(route: RouteStructure, nowMs: number): void {
+    if (nowMs < this.#nextMovesAtMs) {
+      return;
+    }
+    this.#nextMovesAtMs = nowMs + MOVES_EVERY_MS;
     const { picker, logger } = this.#options;
     const { request } = this.#lot;
     const running = this.#listMovable(nowMs);
--- a/packages/edge/src/lots/shard_group.ts
+++ b/packages/edge/src/lots/shard_group.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
 import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
+import { shouldTakeDuties } from "@briarhill/control/membership/duty_share";
 import { WorkShard } from "./work_shard.ts";
 
 /** The group of the hosts that run lots. */
@@ -20,6 +21,8 @@
 const JOIN_EVERY_MS = 600;
 /** How long the owner before may go on after its shard was assigned anew, in milliseconds: it learns of that at its next join. */
 const HANDOVER_MS = 900;
+/** How long a small host leaves larger ones the time to join, in milliseconds. */
+const SMALL_HOST_DELAY_MS = 2_000;
 /** How long a host runs its lots on while it can't reach the group, in milliseconds. */
 const OWN_UNTIL_MS = 8_000;
 
@@ -32,6 +35,8 @@
   readonly member: string;
   /** The shortest time that a silent member may keep its shards, in milliseconds. */
   readonly ttlMinMs: number;
+  /** The processor time of this host, in cores. */
+  readonly cores: number;
 }
 
 /** This host's part of the shards. */
@@ -78,15 +83,13 @@
   }
 
   async #run(): Promise<void> {
-    const { clock, log, logger } = this.#options;
+    const { clock, logger } = this.#options;
     const { signal } = this.#stopping;
     while (!signal.aborted) {
       try {
-        const sentAtMs = clock.getMonotonicMs();
-        const assignment = await log.joinGroup(this.#createMembership());
-        this.#joinedAtMs = sentAtMs;
-        this.#generation = assignment.generation;
-        this.#setOwned(assignment.partitions.map(({ partition }) => partition));
+        if (await this.#shouldJoin()) {
+          await this.#join();
+        }
       } catch (error) {
         if (!(error instanceof PortError)) {
           throw error;
@@ -97,6 +100,27 @@
     }
   }
 
+  /** Only a small host has to ask who else is a member. */
+  async #shouldJoin(): Promise<boolean> {
+    const { log, cores } = this.#options;
+    const own = { cores, isMember: this.#hasJoined };
+    if (shouldTakeDuties({ ...own, members: Infinity })) {
+      return true;
+    }
+    await this.#options.clock.sleep(SMALL_HOST_DELAY_MS);
+    const members = await log.listMembers(LOT_GROUP);
+    return shouldTakeDuties({ ...own, members: members.length });
+  }
+
+  async #join(): Promise<void> {
+    const { clock, log } = this.#options;
+    const sentAtMs = clock.getMonotonicMs();
+    const assignment = await log.joinGroup(this.#createMembership());
+    this.#joinedAtMs = sentAtMs;
+    this.#generation = assignment.generation;
+    this.#setOwned(assignment.partitions.map(({ partition }) => partition));
+  }
+
   #createMembership(): GroupMembership {
     const { member, ttlMinMs } = this.#options;
     return {
--- a/packages/edge/src/node/training.ts
+++ b/packages/edge/src/node/training.ts
@@ -58,6 +58,7 @@
     // A host that starts again finds its shards at once.
     member: settings.ip,
     ttlMinMs: settings.groupTtlMinMs,
+    cores: settings.cores,
   });
   const { lotLifeMs } = settings;
   const archive = new LotArchive({ ...shared, group, lotLifeMs });
--- a/packages/edge/src/settings/host_settings.ts
+++ b/packages/edge/src/settings/host_settings.ts
@@ -14,6 +14,8 @@
   readonly host: string;
   readonly failureDomain: string;
   readonly ip: string;
+  /** The processor time of this host, in cores. */
+  readonly cores: number;
   /** Where callers connect. */
   readonly callers: HttpAddress;
   /** Where the balancer asks whether this host is ready. */
@@ -59,6 +61,7 @@
     host: values.getText("host", "name"),
     failureDomain: values.getText("host", "failure_domain"),
     ip: values.getText("host", "ip"),
+    cores: values.getNumber("host", "cores"),
     callers: values.getAddress("listen", "callers"),
     health: values.getAddress("listen", "health"),
     peers: values.getAddress("listen", "peers"),
--- a/packages/edge/test/node/platform_fixture.ts
+++ b/packages/edge/test/node/platform_fixture.ts
@@ -215,6 +215,7 @@
 name = host-${host}
 failure_domain = a
 ip = ${ip}
+cores = 1
 [listen]
 callers = ${ip}:${this.#base + 1}
 health = ${ip}:${this.#base + 2}
