--- a/packages/edge/test/node/entry_host_test.ts
+++ b/packages/edge/test/node/entry_host_test.ts
@@ -7,8 +7,8 @@
 
 describe("EntryHost", () => {
   const platform = new PlatformFixture(21_300);
-  before(() => platform.start(2));
-  after(() => platform.stop());
+  before(() => platform.startHosts(2));
+  after(() => platform.stopHosts());
 
   it("answers a live call with the endpoint's own bytes and signature", async () => {
     const answer = await platform.call(0, "POST", "/app/query", {
@@ -34,8 +34,8 @@
   });
 
   it("runs and scores a lot, with the same positions at every host", async () => {
-    assert.equal((await platform.handIn(0, "lot-a", 6)).status, 202);
-    assert.equal((await platform.handIn(1, "lot-a", 6)).status, 202);
+    assert.equal((await platform.sendLot(0, "lot-a", 6)).status, 202);
+    assert.equal((await platform.sendLot(1, "lot-a", 6)).status, 202);
     const results = await platform.waitResults(0, "lot-a", 6);
     assert.equal(results.length, 6);
     for (const { id, state, output, versions, score } of results) {
@@ -82,7 +82,7 @@
     assert.ok(first !== undefined && second !== undefined);
     first.breakAfter = 3;
     second.breakAfter = 3;
-    await platform.handIn(0, "lot-b", 2);
+    await platform.sendLot(0, "lot-b", 2);
     const results = await platform.waitResults(0, "lot-b", 2);
     first.breakAfter = Infinity;
     second.breakAfter = Infinity;
@@ -98,14 +98,14 @@
 
   it("takes a lot through the other host while the store turns it away", async () => {
     platform.store.setMood("busy", platform.getIp(0));
-    assert.equal((await platform.handIn(0, "lot-c", 2)).status, 202);
+    assert.equal((await platform.sendLot(0, "lot-c", 2)).status, 202);
     assert.equal((await platform.waitResults(0, "lot-c", 2)).length, 2);
     platform.store.setMood("well", platform.getIp(0));
   });
 
   it("keeps a lot once whose append had no answer", async () => {
     platform.store.setMood("lost");
-    const handedIn = platform.handIn(1, "lot-d", 2);
+    const handedIn = platform.sendLot(1, "lot-d", 2);
     await new Promise((resolve) => setTimeout(resolve, 600));
     platform.store.setMood("well");
     assert.equal((await handedIn).status, 202);
@@ -141,7 +141,7 @@
   it("goes on after the store has dropped its history and dealt its groups anew", async () => {
     platform.store.clearHistory();
     platform.store.assignAnew();
-    assert.equal((await platform.handIn(1, "lot-e", 4)).status, 202);
+    assert.equal((await platform.sendLot(1, "lot-e", 4)).status, 202);
     assert.equal((await platform.waitResults(0, "lot-e", 4)).length, 4);
     assert.equal((await platform.waitResults(0, "lot-d", 2)).length, 2);
   });
--- a/packages/edge/test/node/platform_configuration.ts
+++ b/packages/fakes/src/platform/platform_configuration.ts
@@ -1,7 +1,19 @@
+/**
+ * The configuration of the stand-in of the platform.
+ * @module
+ */
+
 /** The host that the routes of {@link createConfiguration} belong to. */
 export const SERVICE_HOST = "app.example";
 
-/** Returns a configuration with one plain service and one service of engines. */
+/**
+ * Returns a configuration with one plain service and one service of engines.
+ *
+ * @example
+ * ```ts
+ * const { version } = createConfiguration();
+ * ```
+ */
 export function createConfiguration() {
   const common = { host: SERVICE_HOST, sloMs: 200, priority: 1 };
   return {
--- /dev/null
+++ b/packages/fakes/src/platform/platform_stand_in.ts
@@ -0,0 +1,244 @@
+/**
+ * A whole platform for tests and soaks: store, endpoints, and a client of hosts.
+ * @module
+ */
+import { DeadlineError } from "@briarhill/common/errors/errors";
+import {
+  ENDPOINT_TOPIC,
+  OPERATOR_TOPIC,
+} from "@briarhill/platform/names/topics";
+import { Buffer } from "node:buffer";
+import { EndpointStandIn } from "./endpoint_stand_in.ts";
+import {
+  callHost,
+  type HostAnswer,
+  type HostCallOptions,
+} from "./host_call.ts";
+import { createConfiguration, SERVICE_HOST } from "./platform_configuration.ts";
+import { StoreStandIn } from "./store_stand_in.ts";
+
+const STORE_IP = "127.0.0.1";
+const BEAT_MS = 300;
+
+/** A store, endpoints and a client on addresses of the loopback network. */
+export class PlatformStandIn {
+  readonly store = new StoreStandIn();
+  readonly engines: readonly EndpointStandIn[];
+  readonly services: readonly EndpointStandIn[];
+  readonly #base: number;
+  #beats: ReturnType<typeof setInterval> | undefined;
+
+  /**
+   * @param base - The first of some twenty free ports.
+   */
+  constructor(base: number) {
+    this.#base = base;
+    this.engines = [0, 1].map((number) =>
+      this.#createEndpoint(`engine-${number}`, base + 10 + number, ["m0"])
+    );
+    this.services = [0, 1].map((number) =>
+      this.#createEndpoint(`service-${number}`, base + 15 + number, [])
+    );
+  }
+
+  /** Opens the store and the endpoints, and publishes the configuration. */
+  async start(): Promise<void> {
+    await this.store.start(STORE_IP, this.#base);
+    const endpoints = [...this.engines, ...this.services];
+    await Promise.all(endpoints.map((endpoint) => endpoint.start()));
+    this.store.publish(OPERATOR_TOPIC, "config", createConfiguration());
+    this.#publishEntries();
+    this.#beats = setInterval(() => this.#publishEntries(), BEAT_MS);
+  }
+
+  /** Closes everything. */
+  stop(): void {
+    clearInterval(this.#beats);
+    this.store.close();
+    [...this.engines, ...this.services].forEach((one) => one.close());
+  }
+
+  /**
+   * Returns the address of a host.
+   *
+   * @param host - Its number, from 0.
+   */
+  getIp(host: number): string {
+    return `127.0.0.${host + 2}`;
+  }
+
+  /**
+   * Calls a host on a connection of its own.
+   *
+   * @param host - Its number.
+   * @param method - The method.
+   * @param path - The path.
+   * @param options - Headers and body.
+   */
+  call(
+    host: number,
+    method: string,
+    path: string,
+    options: HostCallOptions = {},
+  ): Promise<HostAnswer> {
+    const address = { hostname: this.getIp(host), port: this.#base + 1 };
+    return callHost(address, {
+      method,
+      path,
+      ...options,
+      headers: { host: SERVICE_HOST, ...options.headers },
+    });
+  }
+
+  /**
+   * Hands a lot in.
+   *
+   * @param host - The host's number.
+   * @param lot - The lot's id.
+   * @param samples - How many samples it has, in two groups.
+   */
+  sendLot(host: number, lot: string, samples: number): Promise<HostAnswer> {
+    const items = Array.from({ length: samples }, (_, number) => ({
+      id: `${lot}-${number}`,
+      path: `/rollout/${number}`,
+      headers: { "X-Briarhill-Length-Hint": "100" },
+      body: Buffer.from(`prompt ${number}`).toString("base64"),
+      tokens: 100,
+      group: `g${number % 2}`,
+      scorer: {
+        id: `score-${lot}-${number}`,
+        host: SERVICE_HOST,
+        path: "/app/score",
+        body: "",
+      },
+    }));
+    return this.call(host, "POST", `/rollout/${lot}`, {
+      headers: {
+        "X-Briarhill-Attempt-Id": lot,
+        "X-Briarhill-Deadline-Ms": "8000",
+      },
+      body: JSON.stringify({
+        step: 0,
+        model: "m0",
+        minVersion: 1,
+        batchSize: 2,
+        items,
+      }),
+    });
+  }
+
+  /**
+   * Reads all results of a lot; empty where the host can't tell.
+   *
+   * @param host - The host's number.
+   * @param lot - The lot's id.
+   */
+  async readResults(host: number, lot: string): Promise<readonly LotResult[]> {
+    const { status, body } = await this.call(
+      host,
+      "GET",
+      `/briarhill/lots/${lot}?after=0`,
+      { headers: { "X-Briarhill-Wait-Ms": "100" } },
+    );
+    return status === 200 ? JSON.parse(body.toString()).results : [];
+  }
+
+  /**
+   * Reads results until there are enough.
+   *
+   * @param host - The host's number.
+   * @param lot - The lot's id.
+   * @param count - How many are enough.
+   */
+  async waitResults(
+    host: number,
+    lot: string,
+    count: number,
+  ): Promise<readonly LotResult[]> {
+    let results: readonly LotResult[] = [];
+    await this.waitFor(async () => {
+      results = await this.readResults(host, lot);
+      return results.length >= count;
+    });
+    return results;
+  }
+
+  /**
+   * Asks until it holds; the bound only ends a run that hangs.
+   *
+   * @param holds - What has to hold.
+   */
+  async waitFor(holds: () => Promise<boolean>): Promise<void> {
+    for (let tries = 0; tries < 1_000; tries++) {
+      if (await holds().catch(() => false)) {
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    throw new DeadlineError("the condition never held");
+  }
+
+  #createEndpoint(
+    id: string,
+    port: number,
+    models: readonly string[],
+  ): EndpointStandIn {
+    return new EndpointStandIn({
+      id,
+      service: models.length > 0 ? "engines" : "app",
+      hostname: "127.0.0.1",
+      port,
+      zone: "a",
+      models,
+      events: 8,
+      eventMs: 5,
+      loadMs: 100,
+    });
+  }
+
+  #publishEntries(): void {
+    for (const endpoint of [...this.engines, ...this.services]) {
+      const { id } = endpoint.options;
+      this.store.publish(ENDPOINT_TOPIC, id, endpoint.createEntry());
+    }
+  }
+
+  /**
+   * Returns the settings of a host.
+   *
+   * @param host - Its number.
+   */
+  createSettings(host: number): string {
+    const ip = this.getIp(host);
+    return `[host]
+name = host-${host}
+failure_domain = a
+ip = ${ip}
+cores = 1
+[listen]
+callers = ${ip}:${this.#base + 1}
+health = ${ip}:${this.#base + 2}
+peers = ${ip}:${this.#base + 3}
+metrics = ${ip}:${this.#base + 4}
+seeds = 127.0.0.2:1,127.0.0.3:1
+[store]
+address = ${STORE_IP}:${this.#base}
+partitions = 24
+record_bytes = 262144
+group_ttl_min_ms = 1000
+[bounds]
+grace_s = 8
+lease_ms = 3000
+status_s = 120
+`;
+  }
+}
+
+/** A result as a trainer reads it. */
+export interface LotResult {
+  readonly id: string;
+  readonly state: string;
+  readonly output: string;
+  readonly versions: readonly number[];
+  readonly score: string;
+}
