--- /dev/null
+++ b/packages/bench/src/soak/soak_checks.ts
@@ -0,0 +1,154 @@
+/**
+ * Checks the promises of the platform by what clients and endpoints see.
+ * @module
+ */
+import type {
+  ReceivedOrder,
+  ReceivedRun,
+} from "@briarhill/fakes/platform/endpoint_stand_in";
+import type { LotResult } from "@briarhill/fakes/platform/platform_stand_in";
+
+/** A promise that was broken, with the ids that show it. */
+export interface SoakBreach {
+  readonly promise: string;
+  readonly detail: string;
+}
+
+/** A live call that has ended at its client. */
+export interface SoakCall {
+  readonly id: string;
+  /** 0 where the connection broke. */
+  readonly status: number;
+  readonly body: string;
+  readonly signature: string;
+}
+
+/** The least time between orders of two holders to one engine, in milliseconds (a bound of the platform). */
+const TURN_MS = 3_000;
+
+/** Checks promises while a soak runs; each breach is kept. */
+export class SoakChecks {
+  readonly #wholeText: string;
+  readonly #known = new Map<string, readonly LotResult[]>();
+  readonly #refused = new Set<string>();
+  readonly breaches: SoakBreach[] = [];
+
+  /**
+   * @param wholeText - The text that every sample has when it is whole.
+   */
+  constructor(wholeText: string) {
+    this.#wholeText = wholeText;
+  }
+
+  /**
+   * Checks what a host has told of a lot from its first position on.
+   *
+   * @param lot - The lot.
+   * @param results - The results.
+   */
+  checkResults(lot: string, results: readonly LotResult[]): void {
+    const known = this.#known.get(lot) ?? [];
+    results.slice(0, known.length).forEach((result, position) => {
+      if (JSON.stringify(result) !== JSON.stringify(known[position])) {
+        this.#add("a position never changes", `${lot} ${position}`);
+      }
+    });
+    results.slice(known.length).forEach((result) => {
+      this.#checkResult(lot, result);
+    });
+    const ids = results.map(({ id }) => id);
+    if (new Set(ids).size < ids.length) {
+      this.#add("a sample is listed once", lot);
+    }
+    if (results.length > known.length) {
+      this.#known.set(lot, results);
+    }
+  }
+
+  /**
+   * Checks a live call that has ended.
+   *
+   * @param call - The call.
+   */
+  checkCall({ id, status, body, signature }: SoakCall): void {
+    if (status === 200 && (body !== id || !signature.endsWith(`.${id}`))) {
+      this.#add("an answer is whole and the caller's own", id);
+    }
+    if (status === 429 || status === 503) {
+      this.#refused.add(id);
+    }
+  }
+
+  /**
+   * Checks what endpoints have run and been ordered.
+   *
+   * @param endpoints - What each endpoint has received.
+   */
+  checkEndpoints(
+    endpoints: readonly {
+      readonly runs: readonly ReceivedRun[];
+      readonly orders: readonly ReceivedOrder[];
+    }[],
+  ): void {
+    for (const { runs, orders } of endpoints) {
+      for (const { attemptId } of runs) {
+        if (this.#refused.has(attemptId)) {
+          this.#add("what was refused has not run", attemptId);
+        }
+      }
+      orders.forEach((order, index) => {
+        this.#checkOrder(order, orders[index - 1]);
+      });
+    }
+  }
+
+  /**
+   * Checks that everything that was acknowledged is there in the end.
+   *
+   * @param lots - The acknowledged lots and how many samples each one has.
+   */
+  checkWhole(lots: ReadonlyMap<string, number>): void {
+    for (const [lot, samples] of lots) {
+      const count = this.#known.get(lot)?.length ?? 0;
+      if (count < samples) {
+        this.#add(
+          "an acknowledged lot is finished",
+          `${lot} has ${count} of ${samples}`,
+        );
+      }
+    }
+  }
+
+  #checkResult(lot: string, { id, state, output, score }: LotResult): void {
+    if (state !== "completed" || output !== this.#wholeText) {
+      this.#add("a text is whole", `${lot} ${id} ${state} "${output}"`);
+    }
+    if (!score.endsWith(`.score-${id}`)) {
+      this.#add("a score is the sample's own", `${lot} ${id} ${score}`);
+    }
+  }
+
+  #checkOrder(order: ReceivedOrder, before: ReceivedOrder | undefined): void {
+    if (before === undefined) {
+      return;
+    }
+    const names = `${before.holder} and ${order.holder}`;
+    if (order.fencingToken < before.fencingToken) {
+      this.#add("an order's number never falls", names);
+    }
+    const isOther = order.holder !== before.holder;
+    if (isOther && order.fencingToken === before.fencingToken) {
+      this.#add("two holders have two numbers", names);
+    }
+    if (isOther && order.atMs - before.atMs < TURN_MS) {
+      this.#add(
+        "holders take turns slowly",
+        `${names} within ${order.atMs - before.atMs} ms`,
+      );
+    }
+  }
+
+  #add(promise: string, detail: string): void {
+    this.breaches.push({ promise, detail });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak_faults.ts
@@ -0,0 +1,134 @@
+/**
+ * Brings the faults of a plan about.
+ * @module
+ */
+import type { HostProcess } from "@briarhill/fakes/platform/host_process";
+import type { PlatformStandIn } from "@briarhill/fakes/platform/platform_stand_in";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { SoakFault } from "./soak_plan.ts";
+
+/** How many events a broken engine sends before it breaks off. */
+const BREAK_AFTER_EVENTS = 3;
+/** How long a slow service holds answers back, in milliseconds. */
+const SLOW_MS = 600;
+
+/** Brings faults about, and undoes them after their time. */
+export class SoakFaults {
+  readonly #platform: PlatformStandIn;
+  readonly #hosts: readonly HostProcess[];
+  /** Hosts that are struck already; a second fault passes them over. */
+  readonly #struck = new Set<number>();
+
+  constructor(platform: PlatformStandIn, hosts: readonly HostProcess[]) {
+    this.#platform = platform;
+    this.#hosts = hosts;
+  }
+
+  /**
+   * Brings one fault about and resolves when it is undone.
+   *
+   * @param fault - The fault.
+   */
+  async runFault({ kind, forMs, target }: SoakFault): Promise<void> {
+    switch (kind) {
+      case "kill":
+      case "stop":
+        return await this.#killHosts([target], kind, forMs);
+      case "kill-all":
+        return await this.#killHosts([...this.#hosts.keys()], "kill", forMs);
+      case "pause":
+        return await this.#pause(target, forMs);
+      case "store-busy":
+        return await this.#setMood("busy", forMs);
+      case "store-silent":
+        return await this.#setMood("silent", forMs);
+      case "store-lost":
+        return await this.#setMood("lost", forMs);
+      case "store-refuses-host":
+        return await this.#setMood("busy", forMs, this.#platform.getIp(target));
+      case "engine-breaks":
+      case "service-slow":
+        return await this.#harmEndpoint(kind, forMs, target);
+      default:
+        return this.#publish(kind);
+    }
+  }
+
+  async #harmEndpoint(
+    kind: "engine-breaks" | "service-slow",
+    forMs: number,
+    target: number,
+  ): Promise<void> {
+    const { engines, services } = this.#platform;
+    const endpoints = kind === "engine-breaks" ? engines : services;
+    const endpoint = endpoints[target % endpoints.length];
+    if (endpoint === undefined) {
+      return;
+    }
+    endpoint.breakAfter = kind === "engine-breaks"
+      ? BREAK_AFTER_EVENTS
+      : Infinity;
+    endpoint.delayMs = kind === "service-slow" ? SLOW_MS : 0;
+    await sleep(forMs);
+    endpoint.breakAfter = Infinity;
+    endpoint.delayMs = 0;
+  }
+
+  #publish(
+    kind:
+      | "history-dropped"
+      | "groups-assigned-anew"
+      | "configuration"
+      | "version",
+  ): void {
+    const { store } = this.#platform;
+    switch (kind) {
+      case "history-dropped":
+        return store.clearHistory();
+      case "groups-assigned-anew":
+        return store.assignAnew();
+      case "configuration":
+        return this.#platform.publishConfiguration();
+      case "version":
+        return this.#platform.publishVersion();
+    }
+  }
+
+  async #setMood(
+    mood: "busy" | "silent" | "lost",
+    forMs: number,
+    ip?: string,
+  ): Promise<void> {
+    this.#platform.store.setMood(mood, ip);
+    await sleep(forMs);
+    this.#platform.store.setMood("well", ip);
+  }
+
+  async #pause(target: number, forMs: number): Promise<void> {
+    if (this.#struck.has(target)) {
+      return;
+    }
+    this.#struck.add(target);
+    this.#hosts[target]?.sendSignal("SIGSTOP");
+    await sleep(forMs);
+    this.#hosts[target]?.sendSignal("SIGCONT");
+    this.#struck.delete(target);
+  }
+
+  async #killHosts(
+    targets: readonly number[],
+    kind: "kill" | "stop",
+    forMs: number,
+  ): Promise<void> {
+    const free = targets.filter((target) => !this.#struck.has(target));
+    await Promise.all(free.map(async (target) => {
+      this.#struck.add(target);
+      const host = this.#hosts[target];
+      host?.sendSignal(kind === "kill" ? "SIGKILL" : "SIGTERM");
+      await host?.waitExit();
+      await sleep(kind === "kill" ? forMs : 0);
+      await host?.start();
+      this.#struck.delete(target);
+    }));
+  }
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -0,0 +1,88 @@
+/**
+ * Draws a series of overlapping faults from a seed.
+ * @module
+ */
+import { SeededRandom } from "@briarhill/common/random/seeded_random";
+
+/** What happens to hosts, store and endpoints. */
+export type SoakFaultKind =
+  | "kill"
+  | "kill-all"
+  | "pause"
+  | "stop"
+  | "store-busy"
+  | "store-silent"
+  | "store-lost"
+  | "store-refuses-host"
+  | "history-dropped"
+  | "groups-assigned-anew"
+  | "engine-breaks"
+  | "service-slow"
+  | "configuration"
+  | "version";
+
+const KINDS: readonly SoakFaultKind[] = [
+  "kill",
+  "kill-all",
+  "pause",
+  "stop",
+  "store-busy",
+  "store-silent",
+  "store-lost",
+  "store-refuses-host",
+  "history-dropped",
+  "groups-assigned-anew",
+  "engine-breaks",
+  "service-slow",
+  "configuration",
+  "version",
+];
+
+/** One fault. */
+export interface SoakFault {
+  readonly atMs: number;
+  readonly kind: SoakFaultKind;
+  /** How long it lasts, in milliseconds. */
+  readonly forMs: number;
+  /** The number of the host or endpoint that it strikes. */
+  readonly target: number;
+}
+
+/** The size of a plan. */
+export interface SoakPlanOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly hosts: number;
+}
+
+/** The mean pause between two faults, in milliseconds; most last longer, so that they overlap. */
+const MEAN_PAUSE_MS = 700;
+const MIN_FAULT_MS = 200;
+const MAX_FAULT_MS = 2_500;
+
+/**
+ * Returns the faults of a seed, in the order of their times.
+ *
+ * @example
+ * ```ts
+ * const faults = createSoakPlan({ seed: 1, durationMs: 8000, hosts: 3 });
+ * ```
+ * @param options - The seed and the size.
+ */
+export function createSoakPlan(options: SoakPlanOptions): readonly SoakFault[] {
+  const random = new SeededRandom(options.seed);
+  const faults: SoakFault[] = [];
+  let atMs = 0;
+  while (true) {
+    atMs += MEAN_PAUSE_MS * (0.2 + 1.6 * random.getUnit());
+    if (atMs >= options.durationMs) {
+      return faults;
+    }
+    faults.push({
+      atMs,
+      kind: random.getItem(KINDS) ?? "kill",
+      forMs: MIN_FAULT_MS + random.getInteger(MAX_FAULT_MS - MIN_FAULT_MS),
+      target: random.getInteger(options.hosts),
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak_run.ts
@@ -0,0 +1,187 @@
+/**
+ * One soak: real processes, faults from a seed, promises checked from outside.
+ * @module
+ */
+import { HostProcess } from "@briarhill/fakes/platform/host_process";
+import { PlatformStandIn } from "@briarhill/fakes/platform/platform_stand_in";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type SoakBreach, SoakChecks } from "./soak_checks.ts";
+import { SoakFaults } from "./soak_faults.ts";
+import { createSoakPlan } from "./soak_plan.ts";
+
+const HOSTS = 3;
+const SAMPLES = 6;
+const LOT_EVERY_MS = 1_200;
+const CALL_EVERY_MS = 40;
+const READ_EVERY_MS = 150;
+/** How long everything may take to be whole after the last fault, in milliseconds (a bound of the platform). */
+const RECOVERY_MS = 12_000;
+
+/** What a soak is run with. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  /** The first of some twenty free ports. */
+  readonly port: number;
+  /** The bundle. */
+  readonly program: string;
+}
+
+/** What a soak found. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly breaches: readonly SoakBreach[];
+  readonly calls: number;
+  readonly served: number;
+  readonly lots: number;
+  /** What the hosts have written. */
+  readonly logs: readonly (readonly string[])[];
+}
+
+/** One soak. */
+export class SoakRun {
+  readonly #options: SoakOptions;
+  readonly #platform: PlatformStandIn;
+  readonly #checks: SoakChecks;
+  readonly #lots = new Map<string, number>();
+  #calls = 0;
+  #served = 0;
+  #isRunning = true;
+
+  constructor(options: SoakOptions) {
+    this.#options = options;
+    this.#platform = new PlatformStandIn(options.port);
+    this.#checks = new SoakChecks(this.#platform.wholeText);
+  }
+
+  /** Runs the soak. */
+  async run(): Promise<SoakReport> {
+    const folder = await mkdtemp(join(tmpdir(), "briarhill-soak-"));
+    const hosts = Array.from({ length: HOSTS }, (_, number) =>
+      new HostProcess({
+        program: this.#options.program,
+        folder,
+        name: `host-${number}`,
+        settings: this.#platform.createSettings(number),
+      }));
+    await this.#platform.start();
+    await Promise.all(hosts.map((host) => host.start()));
+    try {
+      await this.#runLoad(new SoakFaults(this.#platform, hosts));
+    } finally {
+      hosts.forEach((host) => host.sendSignal("SIGKILL"));
+      this.#platform.stop();
+      await rm(folder, { recursive: true });
+    }
+    return {
+      seed: this.#options.seed,
+      breaches: this.#checks.breaches,
+      calls: this.#calls,
+      served: this.#served,
+      lots: this.#lots.size,
+      logs: hosts.map(({ lines }) => lines),
+    };
+  }
+
+  async #runLoad(faults: SoakFaults): Promise<void> {
+    const { seed, durationMs } = this.#options;
+    await this.#platform.waitFor(async () =>
+      (await this.#platform.call(0, "GET", "/briarhill/readyz")).status === 200
+    );
+    const load = [this.#sendCalls(), this.#sendLots(), this.#readLots()];
+    const plan = createSoakPlan({ seed, durationMs, hosts: HOSTS });
+    await Promise.all(plan.map(async (fault) => {
+      await sleep(fault.atMs);
+      await faults.runFault(fault);
+    }));
+    this.#isRunning = false;
+    await Promise.all(load);
+    await this.#waitWhole();
+    const { engines, services } = this.#platform;
+    this.#checks.checkEndpoints([...engines, ...services]);
+  }
+
+  async #sendCalls(): Promise<void> {
+    const open: Promise<void>[] = [];
+    for (let number = 0; this.#isRunning; number++) {
+      open.push(this.#sendCall(`call-${number}`, number % HOSTS));
+      await sleep(CALL_EVERY_MS);
+    }
+    await Promise.all(open);
+  }
+
+  async #sendCall(id: string, host: number): Promise<void> {
+    this.#calls++;
+    const headers = {
+      "X-Briarhill-Attempt-Id": id,
+      "X-Briarhill-Deadline-Ms": "2000",
+    };
+    try {
+      const answer = await this.#platform.call(host, "POST", "/app/call", {
+        headers,
+        body: id,
+      });
+      this.#served += answer.status === 200 ? 1 : 0;
+      this.#checks.checkCall({
+        id,
+        status: answer.status,
+        body: answer.body.toString(),
+        signature: String(answer.headers["x-briarhill-server-signature"]),
+      });
+    } catch {
+      // A broken connection promises nothing.
+      this.#checks.checkCall({ id, status: 0, body: "", signature: "" });
+    }
+  }
+
+  /** A lot that is not acknowledged is sent again at another host, as trainers do. */
+  async #sendLots(): Promise<void> {
+    for (let number = 0; this.#isRunning; number++) {
+      const lot = `lot-${number}`;
+      for (let host = number; this.#isRunning; host++) {
+        const answer = await this.#platform.sendLot(host % HOSTS, lot, SAMPLES)
+          .catch(() => undefined);
+        if (answer?.status === 202) {
+          this.#lots.set(lot, SAMPLES);
+          break;
+        }
+        await sleep(READ_EVERY_MS);
+      }
+      await sleep(LOT_EVERY_MS);
+    }
+  }
+
+  async #readLots(): Promise<void> {
+    for (let number = 0; this.#isRunning; number++) {
+      await this.#readAll(number % HOSTS);
+      await sleep(READ_EVERY_MS);
+    }
+  }
+
+  async #readAll(host: number): Promise<void> {
+    await Promise.all([...this.#lots.keys()].map(async (lot) => {
+      const results = await this.#platform.readResults(host, lot)
+        .catch(() => []);
+      this.#checks.checkResults(lot, results);
+    }));
+  }
+
+  async #waitWhole(): Promise<void> {
+    const endMs = Date.now() + RECOVERY_MS;
+    const isWhole = (lot: string, host: number) =>
+      this.#platform.readResults(host, lot)
+        .then((results) => results.length === SAMPLES, () => false);
+    for (const lot of this.#lots.keys()) {
+      while (Date.now() < endMs && !await isWhole(lot, 0)) {
+        await sleep(READ_EVERY_MS);
+      }
+    }
+    for (let host = 0; host < HOSTS; host++) {
+      await this.#readAll(host);
+    }
+    this.#checks.checkWhole(this.#lots);
+  }
+}
--- a/packages/fakes/src/platform/platform_configuration.ts
+++ b/packages/fakes/src/platform/platform_configuration.ts
@@ -11,13 +11,14 @@
  *
  * @example
  * ```ts
- * const { version } = createConfiguration();
+ * const { version } = createConfiguration(3);
  * ```
+ * @param version - The version of the configuration.
  */
-export function createConfiguration() {
+export function createConfiguration(version: number) {
   const common = { host: SERVICE_HOST, sloMs: 200, priority: 1 };
   return {
-    version: 3,
+    version,
     routes: [{
       ...common,
       name: "app",
--- a/packages/fakes/src/platform/platform_stand_in.ts
+++ b/packages/fakes/src/platform/platform_stand_in.ts
@@ -15,10 +15,12 @@
   type HostCallOptions,
 } from "./host_call.ts";
 import { createConfiguration, SERVICE_HOST } from "./platform_configuration.ts";
+import { createHostSettings } from "./host_settings_text.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
 
 const STORE_IP = "127.0.0.1";
 const BEAT_MS = 300;
+const EVENTS = 8;
 
 /** A store, endpoints and a client on addresses of the loopback network. */
 export class PlatformStandIn {
@@ -26,6 +28,8 @@
   readonly engines: readonly EndpointStandIn[];
   readonly services: readonly EndpointStandIn[];
   readonly #base: number;
+  #configuration = 3;
+  #version = 1;
   #beats: ReturnType<typeof setInterval> | undefined;
 
   /**
@@ -46,11 +50,28 @@
     await this.store.start(STORE_IP, this.#base);
     const endpoints = [...this.engines, ...this.services];
     await Promise.all(endpoints.map((endpoint) => endpoint.start()));
-    this.store.publish(OPERATOR_TOPIC, "config", createConfiguration());
+    this.store.publish(OPERATOR_TOPIC, "config", createConfiguration(3));
     this.#publishEntries();
     this.#beats = setInterval(() => this.#publishEntries(), BEAT_MS);
   }
 
+  /** The text that every sample has when it is whole. */
+  get wholeText(): string {
+    return Array.from({ length: EVENTS }, (_, id) => `e${id}`).join("\n");
+  }
+
+  /** Publishes the next version of the configuration. */
+  publishConfiguration(): void {
+    const value = createConfiguration(++this.#configuration);
+    this.store.publish(OPERATOR_TOPIC, "config", value);
+  }
+
+  /** Names the next version of the weights. */
+  publishVersion(): void {
+    const value = { model: "m0", version: ++this.#version };
+    this.store.publish(OPERATOR_TOPIC, "version/m0", value);
+  }
+
   /** Closes everything. */
   stop(): void {
     clearInterval(this.#beats);
@@ -190,7 +211,7 @@
       port,
       zone: "a",
       models,
-      events: 8,
+      events: EVENTS,
       eventMs: 5,
       loadMs: 100,
     });
@@ -209,28 +230,12 @@
    * @param host - Its number.
    */
   createSettings(host: number): string {
-    const ip = this.getIp(host);
-    return `[host]
-name = host-${host}
-failure_domain = a
-ip = ${ip}
-cores = 1
-[listen]
-callers = ${ip}:${this.#base + 1}
-health = ${ip}:${this.#base + 2}
-peers = ${ip}:${this.#base + 3}
-metrics = ${ip}:${this.#base + 4}
-seeds = 127.0.0.2:1,127.0.0.3:1
-[store]
-address = ${STORE_IP}:${this.#base}
-partitions = 24
-record_bytes = 262144
-group_ttl_min_ms = 1000
-[bounds]
-grace_s = 8
-lease_ms = 3000
-status_s = 120
-`;
+    return createHostSettings({
+      name: `host-${host}`,
+      ip: this.getIp(host),
+      store: `${STORE_IP}:${this.#base}`,
+      port: this.#base + 1,
+    });
   }
 }
 
