Check that only the adapter knows the platform's names

Cause: nothing kept names of the platform out of the other packages. Ruled out: a list in review; a rule of the style check finds them each time.

--- a/packages/bench/src/soak/soak_faults.ts
+++ b/packages/bench/src/soak/soak_faults.ts
@@ -37,7 +37,7 @@
       case "kill-all":
         return await this.#killHosts([...this.#hosts.keys()], "kill", forMs);
       case "pause":
-        return await this.#pause(target, forMs);
+        return await this.#suspendHost(target, forMs);
       case "store-busy":
         return await this.#setMood("busy", forMs);
       case "store-silent":
@@ -48,13 +48,13 @@
         return await this.#setMood("busy", forMs, this.#platform.getIp(target));
       case "engine-breaks":
       case "service-slow":
-        return await this.#harmEndpoint(kind, forMs, target);
+        return await this.#runEndpointFault(kind, forMs, target);
       default:
         return this.#publish(kind);
     }
   }
 
-  async #harmEndpoint(
+  async #runEndpointFault(
     kind: "engine-breaks" | "service-slow",
     forMs: number,
     target: number,
@@ -104,7 +104,7 @@
     this.#platform.store.setMood("well", ip);
   }
 
-  async #pause(target: number, forMs: number): Promise<void> {
+  async #suspendHost(target: number, forMs: number): Promise<void> {
     if (this.#struck.has(target)) {
       return;
     }
--- a/packages/bench/src/soak/soak_run.ts
+++ b/packages/bench/src/soak/soak_run.ts
@@ -4,6 +4,12 @@
  */
 import { HostProcess } from "@briarhill/fakes/platform/host_process";
 import { PlatformStandIn } from "@briarhill/fakes/platform/platform_stand_in";
+import {
+  ATTEMPT_ID,
+  DEADLINE_MS,
+  SIGNATURE,
+} from "@briarhill/platform/names/headers";
+import { READY_PATH } from "@briarhill/platform/names/paths";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -17,6 +23,7 @@
 const LOT_EVERY_MS = 1_200;
 const CALL_EVERY_MS = 40;
 const READ_EVERY_MS = 150;
+const CALL_DEADLINE_MS = 2_000;
 /** How long everything may take to be whole after the last fault, in milliseconds (a bound of the platform). */
 const RECOVERY_MS = 12_000;
 
@@ -89,7 +96,7 @@
   async #runLoad(faults: SoakFaults): Promise<void> {
     const { seed, durationMs } = this.#options;
     await this.#platform.waitFor(async () =>
-      (await this.#platform.call(0, "GET", "/briarhill/readyz")).status === 200
+      (await this.#platform.call(0, "GET", READY_PATH)).status === 200
     );
     const load = [this.#sendCalls(), this.#sendLots(), this.#readLots()];
     const plan = createSoakPlan({ seed, durationMs, hosts: HOSTS });
@@ -116,8 +123,8 @@
   async #sendCall(id: string, host: number): Promise<void> {
     this.#calls++;
     const headers = {
-      "X-Briarhill-Attempt-Id": id,
-      "X-Briarhill-Deadline-Ms": "2000",
+      [ATTEMPT_ID]: id,
+      [DEADLINE_MS]: String(CALL_DEADLINE_MS),
     };
     try {
       const answer = await this.#platform.call(host, "POST", "/app/call", {
@@ -129,7 +136,7 @@
         id,
         status: answer.status,
         body: answer.body.toString(),
-        signature: String(answer.headers["x-briarhill-server-signature"]),
+        signature: String(answer.headers[SIGNATURE.toLowerCase()]),
       });
     } catch {
       // A broken connection promises nothing.
--- a/packages/style/src/checker/style_checker.ts
+++ b/packages/style/src/checker/style_checker.ts
@@ -17,6 +17,7 @@
 import { IndexFileRule } from "../rules/index_file_rule.ts";
 import { ParameterRule } from "../rules/parameter_rule.ts";
 import { SizeRule } from "../rules/size_rule.ts";
+import { PlatformNameRule } from "../rules/platform_name_rule.ts";
 import type { StyleFile, StyleRule } from "../rules/style_rule.ts";
 import { TestMirrorRule } from "../rules/test_mirror_rule.ts";
 import { TypedErrorRule } from "../rules/typed_error_rule.ts";
@@ -128,6 +129,7 @@
     new ClassFileRule(),
     new TestMirrorRule(files.map(({ path }) => path)),
     new BannerRule(),
+    new PlatformNameRule(),
     new CatalogueRule(readCatalogues(root), files),
   ];
 }
