--- a/packages/rollout/src/dispatch/lot_work.ts
+++ b/packages/rollout/src/dispatch/lot_work.ts
@@ -2,9 +2,10 @@
  * The open work of one lot, and which of its samples goes next.
  *
  * Load pattern: the trainer waits for whole groups by a due time, and a few
- * samples run many times longer than the rest. Groups are worked on one after
- * the other, those with the longest samples first, so that long ones start
- * early; groups that have begun are finished before others begin.
+ * samples run many times longer than the rest: a long one that starts when its
+ * group's turn comes ends long after all others. Long samples of all groups
+ * start first; then groups are worked on one after the other, those with the
+ * longest samples first, so that groups become whole while others wait.
  * @module
  */
 import type { SampleId } from "@briarhill/common/ids/ids";
@@ -12,6 +13,9 @@
 import type { SampleProgress } from "../ledger/lot_request.ts";
 import { SampleTask } from "./sample_task.ts";
 
+/** A sample is long with this many times the tokens of the median; hints are often off by less. */
+const LONG_RATIO = 2;
+
 /** The open work of one lot. */
 export class LotWork {
   readonly lot: LedgerLot;
@@ -94,6 +98,18 @@
 }
 
 function sortTasks(tasks: readonly SampleTask[]): readonly SampleTask[] {
+  const lengths = tasks.map(({ request }) => request.expectedTokens)
+    .toSorted((a, b) => a - b);
+  const median = lengths[Math.floor(lengths.length / 2)] ?? 0;
+  const isLong = ({ request }: SampleTask) =>
+    request.expectedTokens >= LONG_RATIO * median;
+  const long = tasks.filter(isLong).toSorted((a, b) =>
+    b.request.expectedTokens - a.request.expectedTokens
+  );
+  return [...long, ...sortByGroup(tasks.filter((task) => !isLong(task)))];
+}
+
+function sortByGroup(tasks: readonly SampleTask[]): readonly SampleTask[] {
   const longest = new Map<string, number>();
   for (const { request: { group, expectedTokens } } of tasks) {
     longest.set(group, Math.max(longest.get(group) ?? 0, expectedTokens));
