--- a/packages/edge/src/lots/lot_partition.ts
+++ b/packages/edge/src/lots/lot_partition.ts
@@ -2,13 +2,13 @@
  * One followed partition of the lots.
  * @module
  */
-import { BriarhillError } from "@briarhill/common/errors/errors";
 import type { LogRecord, SharedLog } from "@briarhill/common/log/shared_log";
 import type { Logger } from "@briarhill/common/logging/logger";
 import { ChangeNotifier } from "@briarhill/common/time/change_notifier";
 import type { Clock } from "@briarhill/common/time/clock";
 import { LOT_TOPIC } from "@briarhill/platform/names/topics";
 import { LotLedger } from "@briarhill/rollout/ledger/lot_ledger";
+import { applyRecords } from "../log/apply_records.ts";
 import { LogFollower } from "../log/log_follower.ts";
 
 /** The longest wait of one read, in milliseconds: a silent connection shows this late. */
@@ -60,20 +60,10 @@
   }
 
   #applyRecords(records: readonly LogRecord[]): void {
-    for (const record of records) {
-      try {
-        this.ledger.applyRecord(record);
-      } catch (error) {
-        if (
-          !(error instanceof BriarhillError || error instanceof SyntaxError)
-        ) {
-          throw error;
-        }
-        this.#logger.error("lot-record-unreadable", error, {
-          key: record.key,
-        });
-      }
-    }
+    applyRecords(records, {
+      apply: (record) => this.ledger.applyRecord(record),
+      logger: this.#logger,
+    });
     if (records.length > 0) {
       this.changes.announce();
     }
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -19,6 +19,8 @@
 
 /** The pause after a run that an engine refused, in milliseconds. */
 const REFUSED_PAUSE_MS = 30;
+/** How far the clocks of two hosts may be apart, in milliseconds; a sample is given up later, never sooner. */
+const CLOCK_SLACK_MS = 5_000;
 /** The pause after a run that broke off, in milliseconds; the engine has dropped it by then. */
 const BROKEN_PAUSE_MS = 40;
 
@@ -91,7 +93,8 @@
     ) {
       return;
     }
-    if (clock.getWallMs() > request.acceptedAtMs + route.retentionMs) {
+    const keepMs = route.retentionMs + CLOCK_SLACK_MS;
+    if (clock.getWallMs() > request.acceptedAtMs + keepMs) {
       this.#dropAll();
       return;
     }
--- a/packages/edge/src/lots/work_shard.ts
+++ b/packages/edge/src/lots/work_shard.ts
@@ -2,12 +2,12 @@
  * One shard of the open lots that this host runs.
  * @module
  */
-import { BriarhillError } from "@briarhill/common/errors/errors";
 import type { LogRecord, SharedLog } from "@briarhill/common/log/shared_log";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
 import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
 import { OpenLots } from "@briarhill/rollout/ledger/open_lots";
+import { applyRecords } from "../log/apply_records.ts";
 import { LogFollower } from "../log/log_follower.ts";
 
 /** The longest wait of one read, in milliseconds: a silent connection shows this late. */
@@ -54,19 +54,10 @@
   }
 
   #applyRecords(records: readonly LogRecord[]): void {
-    for (const record of records) {
-      try {
-        this.lots.applyRecord(record);
-      } catch (error) {
-        if (
-          !(error instanceof BriarhillError || error instanceof SyntaxError)
-        ) {
-          throw error;
-        }
-        const { key } = record;
-        this.#options.logger.error("lot-record-unreadable", error, { key });
-      }
-    }
+    applyRecords(records, {
+      apply: (record) => this.lots.applyRecord(record),
+      logger: this.#options.logger,
+    });
     if (records.length > 0) {
       this.#options.onChange();
     }
--- a/packages/routing/src/endpoints/endpoint_table.ts
+++ b/packages/routing/src/endpoints/endpoint_table.ts
@@ -12,6 +12,9 @@
 /** How long after the store's return lapsed entries may still come back, in milliseconds (a bound of the platform). */
 const RETURN_GRACE_MS = 2_000;
 
+/** How long a removed endpoint is remembered, in milliseconds; above the delay of any entry. */
+const REMEMBER_MS = 60_000;
+
 /** What an entry changed. */
 export type EndpointChange =
   | "added"
@@ -79,7 +82,7 @@
       this.#set(id, { ...known, removeAtMs });
       return "removal-pending";
     }
-    this.#set(id, { ...known, isListed: false });
+    this.#set(id, { ...known, isListed: false, removeAtMs: options.nowMs });
     return "removed";
   }
 
@@ -94,6 +97,7 @@
     for (const [id, known] of lapsed) {
       this.#set(id, { ...known, isListed: false });
     }
+    this.#pruneOld(nowMs);
     return lapsed.map(([id]) => id);
   }
 
@@ -117,6 +121,15 @@
       : undefined;
   }
 
+  /** Entries that come late are known by the last one for a while only. */
+  #pruneOld(nowMs: number): void {
+    for (const [id, { isListed, removeAtMs }] of this.#known) {
+      if (!isListed && nowMs - removeAtMs > REMEMBER_MS) {
+        this.#known.delete(id);
+      }
+    }
+  }
+
   #set(id: EndpointId, known: KnownEndpoint): void {
     this.#known.set(id, known);
     this.#listed = undefined;
--- a/packages/routing/test/endpoints/endpoints_test.ts
+++ b/packages/routing/test/endpoints/endpoints_test.ts
@@ -52,6 +52,14 @@
     assert.deepEqual(listIds(table), []);
   });
 
+  it("forgets an endpoint that has long been gone", () => {
+    const table = new EndpointTable();
+    table.applyEntry(createEndpoint("e", { beat: 5 }));
+    table.applyRemoval("e", { nowMs: 9_000, disturbedAtMs: 0 });
+    table.removeLapsed(69_001);
+    assert.equal(table.applyEntry(createEndpoint("e", { beat: 4 })), "added");
+  });
+
   it("removes at once while the list is undisturbed", () => {
     const table = new EndpointTable();
     table.applyEntry(createEndpoint("e"));
