Decide on the attempts of a call in routing, and follow partitions with one class

Ruled out: a second bound for the endpoint's time: it was handed up to 10 ms more than the host itself waits, so that one deadline serves both. Change: routing/attempts/attempt_plan with a table of ends and a property on true refusals; edge/log/followed_partition; three log events.

--- a/packages/edge/src/calls/call_forwarder.ts
+++ b/packages/edge/src/calls/call_forwarder.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { FailureDomain } from "@briarhill/common/ids/ids";
+import type { Logger } from "@briarhill/common/logging/logger";
 import type { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { Clock } from "@briarhill/common/time/clock";
 import { encodeForwardedHeaders } from "@briarhill/platform/ingress/request_head";
@@ -20,8 +21,8 @@
 const HEDGE_RATIO = 3;
 /** Weight of the newest time in a route's usual time. */
 const SAMPLE_WEIGHT = 0.1;
-/** Time kept for the way back to the caller, in milliseconds. */
-const RETURN_MS = 15;
+/** Time for an endpoint's last answer to come back, in milliseconds: some three round trips between failure domains. */
+const ENDPOINT_RETURN_MS = 10;
 
 /** A request to forward. */
 export interface ForwardRequest {
@@ -33,8 +34,6 @@
   readonly body: Buffer;
   /** When the final outcome is due, on the monotonic clock. */
   readonly deadlineMs: number;
-  /** When the caller gives up, on the monotonic clock. */
-  readonly callerDeadlineMs: number;
   readonly signal: AbortSignal;
 }
 
@@ -49,6 +48,7 @@
 /** What a forwarder needs. */
 export interface CallForwarderOptions {
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly random: SeededRandom;
   readonly directory: EndpointDirectory;
   readonly sender: EndpointSender;
@@ -74,9 +74,10 @@
     request: ForwardRequest,
   ): Promise<ForwardReport> {
     const { route, signal, deadlineMs } = request;
-    const { clock } = this.#options;
+    const { clock, logger } = this.#options;
     const call = new ForwardedCall({
       clock,
+      logger,
       deadlineMs,
       maxAttempts: Math.max(1, route.maxAttempts),
       isRepeatable: route.kind === "idempotent",
@@ -129,7 +130,7 @@
   ): ReturnType<EndpointSender["send"]> {
     const { clock, sender, directory } = this.#options;
     const startMs = clock.getMonotonicMs();
-    const leftMs = request.callerDeadlineMs - startMs - RETURN_MS;
+    const leftMs = request.deadlineMs - startMs - ENDPOINT_RETURN_MS;
     const sent = await sender.send({
       endpoint,
       attemptId: request.attemptId,
--- a/packages/edge/src/calls/call_outcome.ts
+++ b/packages/edge/src/calls/call_outcome.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { HttpAnswer } from "@briarhill/common/http/http_exchange";
+import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
 import type { EndpointAnswerHead } from "@briarhill/platform/ingress/endpoint_answer";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
@@ -26,6 +27,7 @@
 /** What a request needs on its way. */
 export interface ForwardedCallOptions {
   readonly clock: Clock;
+  readonly logger: Logger;
   /** When the final outcome is due, on the monotonic clock. */
   readonly deadlineMs: number;
   /** To how many endpoints it may be sent at most. */
--- a/packages/edge/src/calls/forwarded_call.ts
+++ b/packages/edge/src/calls/forwarded_call.ts
@@ -1,25 +1,21 @@
 /**
- * One request on its way to endpoints: attempts, hedges and its final outcome.
- *
- * Load pattern: an endpoint that is dark, slow or spoils answers holds single
- * requests. A repeatable one is sent once more to another endpoint after a
- * multiple of the usual time, and the first whole answer counts.
+ * One request on its way to endpoints: makes the attempts that its plan allows.
  * @module
  */
 import { PortError } from "@briarhill/common/errors/errors";
-import type { Outcome } from "@briarhill/common/ids/ids";
+import {
+  type AttemptEnd,
+  AttemptPlan,
+} from "@briarhill/routing/attempts/attempt_plan";
 import type {
   AttemptAnswer,
   CallOutcome,
   ForwardedCallOptions,
 } from "./call_outcome.ts";
 
-/** The pause before an endpoint that was full is asked again, in milliseconds. */
-const FULL_RETRY_MS = 25;
-/** The share of a request's time in which full endpoints are asked again. */
-const FULL_RETRY_SHARE = 0.5;
+const FIRST_SERVER_ERROR_STATUS = 500;
 
-type Wake = { readonly kind: "hedge" | "deadline" | "cancelled" } | {
+type Wake = { readonly kind: "pause" | "deadline" | "cancelled" } | {
   readonly kind: "attempt";
   readonly number: number;
   readonly endpoint: string;
@@ -30,30 +26,28 @@
 /** One request on its way to endpoints. */
 export class ForwardedCall {
   readonly #options: ForwardedCallOptions;
+  readonly #plan: AttemptPlan;
   readonly #tried = new Set<string>();
   readonly #running = new Map<number, Promise<Wake>>();
   readonly #abort = new AbortController();
-  readonly #startedAtMs: number;
-  #attempts = 0;
-  #executions = 0;
-  #failedAnswers = 0;
-  #mayHaveRun = false;
   #lastAnswer: CallOutcome | undefined;
-  #reason = "no-endpoint";
 
   constructor(options: ForwardedCallOptions) {
     this.#options = options;
-    this.#startedAtMs = options.clock.getMonotonicMs();
+    this.#plan = new AttemptPlan({
+      ...options,
+      startedAtMs: options.clock.getMonotonicMs(),
+    });
   }
 
   /** How many times the request was sent. */
   get attempts(): number {
-    return this.#attempts;
+    return this.#plan.attempts;
   }
 
   /** How many endpoints answered with a failure of their own. */
   get failedAnswers(): number {
-    return this.#failedAnswers;
+    return this.#plan.failedAnswers;
   }
 
   /** Sends the request until it has a final outcome. */
@@ -69,18 +63,11 @@
   }
 
   async #runAttempts(): Promise<CallOutcome> {
-    let shouldStart = true;
-    while (true) {
-      if (shouldStart) {
-        this.#startAttempt();
-      }
-      if (this.#running.size === 0 && !this.#canRetry()) {
-        return this.#createFinal();
-      }
+    this.#startAttempt();
+    while (this.#plan.running > 0 || this.#canRetry()) {
       const wake = await this.#waitNext();
       if (wake.kind === "deadline" || wake.kind === "cancelled") {
-        this.#reason = wake.kind;
-        return this.#createFinal();
+        return this.#createFinal(wake.kind);
       }
       if (wake.kind === "attempt") {
         const outcome = this.#settleAttempt(wake);
@@ -88,9 +75,16 @@
           return outcome;
         }
       }
-      shouldStart = this.#canRetry() &&
-        (wake.kind === "hedge" || this.#running.size === 0);
+      const isDue = wake.kind === "pause" || this.#plan.running === 0;
+      if (isDue && this.#canRetry()) {
+        this.#startAttempt();
+      }
     }
+    return this.#createFinal(this.#plan.reason);
+  }
+
+  #canRetry(): boolean {
+    return this.#plan.canRetry(this.#options.clock.getMonotonicMs());
   }
 
   #startAttempt(): void {
@@ -99,22 +93,18 @@
       return;
     }
     const isSecond = this.#tried.has(endpoint.id);
-    if (isSecond && this.#running.size > 0) {
+    if (isSecond && this.#plan.running > 0) {
       return;
     }
     this.#tried.add(endpoint.id);
-    this.#executions++;
-    const number = ++this.#attempts;
+    this.#plan.startAttempt();
+    const number = this.#plan.attempts;
+    const attempt = { kind: "attempt", number, endpoint: endpoint.id } as const;
     this.#running.set(
       number,
       this.#options.sendAttempt(endpoint, this.#abort.signal).then(
-        (answer) => ({
-          kind: "attempt",
-          number,
-          endpoint: endpoint.id,
-          answer,
-        }),
-        (error) => ({ kind: "attempt", number, endpoint: endpoint.id, error }),
+        (answer) => ({ ...attempt, answer }),
+        (error) => ({ ...attempt, error }),
       ),
     );
   }
@@ -124,72 +114,33 @@
     wake: Extract<Wake, { kind: "attempt" }>,
   ): CallOutcome | undefined {
     this.#running.delete(wake.number);
-    const { answer, endpoint } = wake;
-    if (answer === undefined) {
-      const { error } = wake;
-      const isNotRun = error instanceof PortError &&
-        error.outcome === "not-run";
-      if (isNotRun) {
-        this.#executions--;
-      } else {
-        this.#mayHaveRun = true;
-      }
-      this.#reason = error instanceof PortError ? error.fault : "fault";
-      return undefined;
-    }
-    if (answer.answer.isRefused) {
-      this.#executions--;
-      this.#reason = answer.answer.isOtherEndpoint ? "other-endpoint" : "full";
+    this.#logFault(wake);
+    const isFinal = this.#plan.settleAttempt(getAttemptEnd(wake));
+    if (wake.answer === undefined || wake.answer.answer.isRefused) {
       return undefined;
     }
-    const { status } = answer.whole;
-    const outcome = {
-      kind: "answered" as const,
-      whole: answer.whole,
-      endpoint,
+    this.#lastAnswer = {
+      kind: "answered",
+      whole: wake.answer.whole,
+      endpoint: wake.endpoint,
     };
-    const isFinal = status < 500 || !this.#options.isRepeatable;
-    if (isFinal) {
-      return outcome;
-    }
-    this.#mayHaveRun = true;
-    this.#failedAnswers++;
-    this.#lastAnswer = outcome;
-    return undefined;
+    return isFinal ? this.#lastAnswer : undefined;
   }
 
-  #canRetry(): boolean {
-    const { isRepeatable, maxAttempts, clock, deadlineMs } = this.#options;
-    if (this.#executions >= maxAttempts) {
-      return false;
+  /** Faults of ports are expected and told with the outcome; others are faults of this program. */
+  #logFault({ error, endpoint }: Extract<Wake, { kind: "attempt" }>): void {
+    if (error !== undefined && !(error instanceof PortError)) {
+      this.#options.logger.error("attempt-failed", error, { endpoint });
     }
-    if (this.#mayHaveRun && !isRepeatable) {
-      return false;
-    }
-    const nowMs = clock.getMonotonicMs();
-    const budgetMs = FULL_RETRY_SHARE * (deadlineMs - this.#startedAtMs);
-    return this.#reason !== "full" && this.#reason !== "no-endpoint" ||
-      nowMs < this.#startedAtMs + budgetMs;
   }
 
   async #waitNext(): Promise<Wake> {
-    const { clock, deadlineMs, hedgeAfterMs, isRepeatable } = this.#options;
-    const leftMs = deadlineMs - clock.getMonotonicMs();
-    const isIdle = this.#running.size === 0;
-    const canHedge = isRepeatable && this.#canRetry() &&
-      this.#attempts < this.#options.maxAttempts;
-    const pauseMs = isIdle
-      ? (this.#reason === "full" || this.#reason === "no-endpoint"
-        ? FULL_RETRY_MS
-        : 1)
-      : canHedge
-      ? hedgeAfterMs
-      : Infinity;
-    const timerMs = Math.max(0, Math.min(leftMs, pauseMs));
+    const { clock } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const { untilMs, isDeadline } = this.#plan.getWait(nowMs);
     const stopped = new AbortController();
-    const timer = clock.sleep(timerMs, stopped.signal).then((): Wake => ({
-      kind: leftMs <= pauseMs ? "deadline" : "hedge",
-    }));
+    const timer = clock.sleep(Math.max(0, untilMs - nowMs), stopped.signal)
+      .then((): Wake => ({ kind: isDeadline ? "deadline" : "pause" }));
     const cancelled = new Promise<Wake>((resolve) => {
       this.#abort.signal.addEventListener(
         "abort",
@@ -211,16 +162,31 @@
     }
   }
 
-  /** A refusal says that the request has not run, so nothing sent may be open. */
-  #createFinal(): CallOutcome {
+  #createFinal(reason: string): CallOutcome {
     if (this.#lastAnswer !== undefined) {
       return this.#lastAnswer;
     }
-    const outcome: Outcome = this.#mayHaveRun || this.#running.size > 0
-      ? "unknown"
-      : "not-run";
-    return outcome === "not-run"
-      ? { kind: "refused", reason: this.#reason }
-      : { kind: "failed", reason: this.#reason };
+    return this.#plan.outcome === "not-run"
+      ? { kind: "refused", reason }
+      : { kind: "failed", reason };
+  }
+}
+
+function getAttemptEnd(
+  { answer, error }: Extract<Wake, { kind: "attempt" }>,
+): AttemptEnd {
+  if (answer === undefined) {
+    const isNotRun = error instanceof PortError && error.outcome === "not-run";
+    const reason = error instanceof PortError ? error.fault : "fault";
+    return { kind: isNotRun ? "not-run" : "lost", reason };
+  }
+  const { isRefused, isOtherEndpoint } = answer.answer;
+  if (isRefused) {
+    return {
+      kind: "not-run",
+      reason: isOtherEndpoint ? "other-endpoint" : "full",
+    };
   }
+  const isFailure = answer.whole.status >= FIRST_SERVER_ERROR_STATUS;
+  return { kind: "answered", isFailure };
 }
--- a/packages/edge/src/calls/ingress.ts
+++ b/packages/edge/src/calls/ingress.ts
@@ -106,6 +106,10 @@
     };
     const table = getTable();
     if (table === undefined) {
+      this.#options.logger.info("request-refused", {
+        request: exchange.head.attemptId,
+        reason: "no-configuration",
+      });
       writeOwnReply(response, {
         status: 503,
         title: "this host knows no configuration yet",
--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -75,10 +75,6 @@
         callerDeadlineMs - RETURN_MS,
         arrivedAtMs + route.timeoutMs,
       ),
-      callerDeadlineMs: Math.min(
-        callerDeadlineMs,
-        arrivedAtMs + route.timeoutMs,
-      ),
       signal,
     });
     const { outcome } = report;
@@ -175,6 +171,7 @@
     const leftMs = Math.max(1, arrivedAtMs + head.deadlineMs - nowMs);
     return streamAnswer(response, {
       sender: this.#options.sender,
+      logger: this.#options.logger,
       request: {
         endpoint,
         attemptId: head.attemptId,
--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -5,9 +5,10 @@
  */
 import type { HttpHead } from "@briarhill/common/http/http_exchange";
 import { PortError } from "@briarhill/common/errors/errors";
+import type { Logger } from "@briarhill/common/logging/logger";
 import { encodeReturnedHeaders } from "@briarhill/platform/ingress/request_head";
 import type { ServerResponse } from "node:http";
-import type { EndpointSender } from "./endpoint_sender.ts";
+import type { EndpointRequest, EndpointSender } from "./endpoint_sender.ts";
 
 /** How a passed-on answer ended. */
 export type StreamOutcome = "whole" | "cut" | "not-run" | "unknown";
@@ -18,19 +19,21 @@
  * @example
  * ```ts
  * declare const sender: EndpointSender;
- * declare const request: Parameters<EndpointSender["run"]>[0];
+ * declare const request: EndpointRequest;
+ * declare const logger: Logger;
  * declare const response: import("node:http").ServerResponse;
  *
- * const outcome = await streamAnswer(response, { sender, request });
+ * const outcome = await streamAnswer(response, { sender, request, logger });
  * ```
  * @param response - Where to write.
- * @param call - The sender and the request.
+ * @param call - The sender, the request, and where a failed attempt is logged.
  */
 export async function streamAnswer(
   response: ServerResponse,
   call: {
     readonly sender: EndpointSender;
-    readonly request: Parameters<EndpointSender["run"]>[0];
+    readonly request: EndpointRequest;
+    readonly logger: Logger;
   },
 ): Promise<StreamOutcome> {
   try {
@@ -42,9 +45,17 @@
       return await streamHead(response, head);
     });
   } catch (error) {
-    return error instanceof PortError && error.outcome === "not-run"
-      ? "not-run"
-      : "unknown";
+    if (!(error instanceof PortError)) {
+      throw error;
+    }
+    const outcome = error.outcome === "not-run" ? "not-run" : "unknown";
+    call.logger.warn("stream-attempt-failed", {
+      request: call.request.attemptId,
+      endpoint: call.request.endpoint.id,
+      fault: error.fault,
+      outcome,
+    });
+    return outcome;
   }
 }
 
--- a/packages/edge/src/lots/lot_archive.ts
+++ b/packages/edge/src/lots/lot_archive.ts
@@ -90,10 +90,10 @@
     while (!signal.aborted) {
       await clock.sleep(SWEEP_EVERY_MS, signal);
       const beforeMs = clock.getWallMs() - lotLifeMs - SLACK_MS;
-      for (const { number, lots } of group.listShards()) {
-        for (const entry of lots.listClosed(beforeMs)) {
+      for (const { partition } of group.listShards()) {
+        for (const entry of partition.view.listClosed(beforeMs)) {
           try {
-            await this.#removeLot(number, entry);
+            await this.#removeLot(partition.number, entry);
           } catch (error) {
             if (!(error instanceof BriarhillError)) {
               throw error;
--- a/packages/edge/src/lots/lot_desk.ts
+++ b/packages/edge/src/lots/lot_desk.ts
@@ -11,8 +11,7 @@
 import { encodeOpenLot } from "@briarhill/rollout/ledger/open_lots";
 import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
 import type { AppendOutcome, LotAppender } from "./lot_appender.ts";
-import type { LotPartition } from "./lot_partition.ts";
-import type { LotPartitions } from "./lot_partitions.ts";
+import type { LotPartition, LotPartitions } from "./lot_partitions.ts";
 
 /** How fresh a partition has to be to say that a lot doesn't exist, in milliseconds. */
 const FRESH_MS = 50;
@@ -49,7 +48,7 @@
   async admitLot(lot: LotRequest, deadlineMs: number): Promise<AppendOutcome> {
     const { partitions, appender, maxRecordBytes } = this.#options;
     const place = partitions.getPlace(lot.id);
-    const { ledger } = partitions.follow(place.partition);
+    const { view: ledger } = partitions.follow(place.partition);
     if (ledger.getLot(lot.id) === undefined) {
       const outcome = await appender.append(
         place,
@@ -111,7 +110,7 @@
   async findLot(id: LotId): Promise<LotAnswer> {
     const { partitions, clock } = this.#options;
     const partition = partitions.follow(partitions.getPlace(id).partition);
-    const known = partition.ledger.getLot(id);
+    const known = partition.view.getLot(id);
     if (known !== undefined) {
       return { kind: "found", lot: known };
     }
@@ -125,7 +124,7 @@
         throw error;
       }
     }
-    const lot = partition.ledger.getLot(id);
+    const lot = partition.view.getLot(id);
     return lot === undefined ? { kind: "missing" } : { kind: "found", lot };
   }
 
--- a/packages/edge/src/lots/lot_owner.ts
+++ b/packages/edge/src/lots/lot_owner.ts
@@ -11,8 +11,7 @@
 import type { LotArchive } from "./lot_archive.ts";
 import type { LotPartitions } from "./lot_partitions.ts";
 import type { LotRunner, LotRunnerOptions } from "./lot_runner.ts";
-import type { ShardGroup } from "./shard_group.ts";
-import type { WorkShard } from "./work_shard.ts";
+import type { OwnedShard, ShardGroup } from "./shard_group.ts";
 
 /** How long what a closed lot has generated is kept for the next lot, in milliseconds; a trainer asks for its next step within some seconds. */
 const KEEP_TASKS_MS = 8_000;
@@ -95,16 +94,16 @@
     this.#pruneClosed();
   }
 
-  #advanceShard(shard: WorkShard, open: Set<string>): void {
+  #advanceShard(shard: OwnedShard, open: Set<string>): void {
     const { partitions, archive, createRunner } = this.#options;
-    for (const entry of shard.lots.listOpen()) {
+    for (const entry of shard.partition.view.listOpen()) {
       const partition = partitions.follow(entry.partition);
-      const lot = partition.ledger.getLot(entry.lot);
+      const lot = partition.view.getLot(entry.lot);
       if (lot === undefined) {
         continue;
       }
       if (!lot.isOpen) {
-        archive.closeLot(shard.number, entry);
+        archive.closeLot(shard.partition.number, entry);
         continue;
       }
       open.add(lot.id);
--- a/packages/edge/src/lots/lot_partitions.ts
+++ b/packages/edge/src/lots/lot_partitions.ts
@@ -7,20 +7,27 @@
 import type { LotId } from "@briarhill/common/ids/ids";
 import type { LogPartition } from "@briarhill/common/log/shared_log";
 import { LOT_TOPIC } from "@briarhill/platform/names/topics";
+import { LotLedger } from "@briarhill/rollout/ledger/lot_ledger";
 import type { LotRequest } from "@briarhill/rollout/ledger/lot_request";
-import { LotPartition, type LotPartitionOptions } from "./lot_partition.ts";
+import {
+  FollowedPartition,
+  type FollowedPartitionOptions,
+} from "../log/followed_partition.ts";
+
+/** A partition of the lots that this host follows. */
+export type LotPartition = FollowedPartition<LotLedger>;
 
 /** The partitions that this host follows. */
 export class LotPartitions {
   readonly #count: number;
-  readonly #options: LotPartitionOptions;
+  readonly #options: FollowedPartitionOptions;
   readonly #followed = new Map<number, LotPartition>();
 
   /**
    * @param count - How many partitions there are.
    * @param options - What each partition needs.
    */
-  constructor(count: number, options: LotPartitionOptions) {
+  constructor(count: number, options: FollowedPartitionOptions) {
     this.#count = count;
     this.#options = options;
   }
@@ -53,7 +60,11 @@
     if (followed !== undefined) {
       return followed;
     }
-    const partition = new LotPartition(number, this.#options);
+    const partition = new FollowedPartition(
+      { topic: LOT_TOPIC, partition: number },
+      new LotLedger(),
+      this.#options,
+    );
     this.#followed.set(number, partition);
     return partition;
   }
--- a/packages/edge/src/lots/sample_scorer.ts
+++ b/packages/edge/src/lots/sample_scorer.ts
@@ -54,7 +54,6 @@
       rawHeaders: call.headers,
       body: call.body ?? Buffer.alloc(0),
       deadlineMs,
-      callerDeadlineMs: deadlineMs,
       signal,
     });
     if (outcome.kind === "answered") {
--- a/packages/edge/src/lots/shard_group.ts
+++ b/packages/edge/src/lots/shard_group.ts
@@ -9,9 +9,10 @@
 } from "@briarhill/common/log/shared_log";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
-import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
 import { shouldTakeDuties } from "@briarhill/control/membership/duty_share";
-import { WorkShard } from "./work_shard.ts";
+import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
+import { OpenLots } from "@briarhill/rollout/ledger/open_lots";
+import { FollowedPartition } from "../log/followed_partition.ts";
 
 /** The group of the hosts that run lots. */
 export const LOT_GROUP = "lot-owners";
@@ -39,11 +40,18 @@
   readonly cores: number;
 }
 
+/** A shard that this host owns. */
+export interface OwnedShard {
+  readonly partition: FollowedPartition<OpenLots>;
+  /** When samples that its owner before may still run go on, on the monotonic clock. */
+  readonly resumeAtMs: number;
+}
+
 /** This host's part of the shards. */
 export class ShardGroup {
   readonly #options: ShardGroupOptions;
   readonly #stopping = new AbortController();
-  readonly #owned = new Map<number, WorkShard>();
+  readonly #owned = new Map<number, OwnedShard>();
   #onChange: () => void = () => undefined;
   #generation = 0;
   #hasJoined = false;
@@ -54,7 +62,7 @@
   }
 
   /** Returns the shards that this host owns; none when it can't reach the group for long. */
-  listShards(): readonly WorkShard[] {
+  listShards(): readonly OwnedShard[] {
     const sinceMs = this.#options.clock.getMonotonicMs() - this.#joinedAtMs;
     return sinceMs < OWN_UNTIL_MS ? [...this.#owned.values()] : [];
   }
@@ -72,7 +80,7 @@
   /** Leaves the group, so that others get the shards at once. */
   async stop(): Promise<void> {
     this.#stopping.abort();
-    this.#owned.forEach((shard) => shard.stop());
+    this.#owned.forEach(({ partition }) => partition.stop());
     this.#owned.clear();
     try {
       await this.#options.log.leaveGroup(this.#createMembership());
@@ -141,7 +149,7 @@
     );
     const gained = numbers.filter((one) => !this.#owned.has(one));
     for (const one of lost) {
-      this.#owned.get(one)?.stop();
+      this.#owned.get(one)?.partition.stop();
       this.#owned.delete(one);
     }
     // At the start of a process no other one has run its shards since.
@@ -149,8 +157,14 @@
     this.#hasJoined = true;
     const resumeAtMs = this.#joinedAtMs + handoverMs;
     const onChange = () => this.#onChange();
-    const shared = { ...this.#options, resumeAtMs, onChange };
-    gained.forEach((one) => this.#owned.set(one, new WorkShard(one, shared)));
+    for (const one of gained) {
+      const partition = new FollowedPartition(
+        { topic: LOT_WORK_TOPIC, partition: one },
+        new OpenLots(),
+        { ...this.#options, onChange },
+      );
+      this.#owned.set(one, { partition, resumeAtMs });
+    }
     if (lost.length + gained.length > 0) {
       this.#options.logger.info("partitions-assigned", {
         generation: this.#generation,
--- a/packages/rollout/src/ledger/ledger_lot.ts
+++ b/packages/rollout/src/ledger/ledger_lot.ts
@@ -13,7 +13,6 @@
 export class LedgerLot {
   readonly id: LotId;
   readonly request: LotRequest;
-  readonly #keys: string[] = [];
   readonly #results: SampleResult[] = [];
   readonly #settled = new Set<SampleId>();
   readonly #samples: ReadonlySet<SampleId>;
@@ -41,11 +40,6 @@
     return this.#results;
   }
 
-  /** The keys of the records that tell of this lot. */
-  get keys(): readonly string[] {
-    return this.#keys;
-  }
-
   /**
    * Tells whether a sample has a settled result.
    *
@@ -55,15 +49,6 @@
     return this.#settled.has(sample);
   }
 
-  /**
-   * Remembers a key, so that it can be removed with the lot.
-   *
-   * @param key - The key.
-   */
-  addKey(key: string): void {
-    this.#keys.push(key);
-  }
-
   /**
    * Settles results; one of a sample that has a result, or is not of this lot, is ignored.
    *
--- a/packages/rollout/src/ledger/lot_ledger.ts
+++ b/packages/rollout/src/ledger/lot_ledger.ts
@@ -43,7 +43,6 @@
       this.#early.set(key.lot, [...early, record]);
       return undefined;
     }
-    lot.addKey(record.key);
     applyToLot(lot, key.kind, record);
     return lot;
   }
@@ -57,16 +56,9 @@
     return this.#lots.get(id);
   }
 
-  /** Returns all lots in the order of their acceptance. */
-  listLots(): readonly LedgerLot[] {
-    return [...this.#lots.values()];
-  }
-
   /** Puts the parts of a lot together; a lot that is accepted again keeps its first form. */
   #applyPart(key: LotRecordKey, record: LogRecord): LedgerLot | undefined {
-    const known = this.#lots.get(key.lot);
-    if (known !== undefined) {
-      known.addKey(record.key);
+    if (this.#lots.has(key.lot)) {
       return undefined;
     }
     const name = `${key.lot}|${key.nonce}`;
@@ -82,9 +74,6 @@
     const lot = new LedgerLot(
       JSON.parse(Buffer.concat(whole).toString()) as LotRequest,
     );
-    for (let part = 0; part < key.parts; part++) {
-      lot.addKey([key.lot, "lot", key.nonce, part, key.parts].join("|"));
-    }
     this.#lots.set(lot.id, lot);
     const early = this.#early.get(lot.id) ?? [];
     this.#early.delete(lot.id);
--- a/packages/rollout/test/ledger/lot_ledger_test.ts
+++ b/packages/rollout/test/ledger/lot_ledger_test.ts
@@ -104,7 +104,7 @@
     ]);
     const ledger = applyAll(log);
     assert.equal(ledger.getLot("lot")?.isOpen, false);
-    const [key = ""] = ledger.getLot("lot")?.keys ?? [];
+    const key = log[0]?.key ?? "";
     ledger.applyRecord({ key, value: Buffer.alloc(0), offset: 9 });
     assert.equal(ledger.getLot("lot"), undefined);
   });
