Harm the connections of the soak from outside, by proxies on loopback

Cause: the soak struck processes, the store and the endpoints, but not the links between them: nothing was delayed, reset, held one way or silenced. Ruled out: faults inside the stand-ins, which know too well what they do; a proxy library, as none may stand between the two sides of a link.

--- a/packages/bench/src/soak/main.ts
+++ b/packages/bench/src/soak/main.ts
@@ -29,6 +29,9 @@
   readonly seconds = Option.String("--seconds", "8", {
     description: "How long faults come, for each seed",
   });
+  readonly hosts = Option.String("--hosts", "3", {
+    description: "How many hosts",
+  });
   readonly logs = Option.String("--logs", "out/soak", {
     description: "Where logs of failed seeds are written",
   });
@@ -40,6 +43,7 @@
       const report = await new SoakRun({
         seed,
         durationMs: 1_000 * Number(this.seconds),
+        hosts: Number(this.hosts),
         port: FIRST_PORT,
         program: PROGRAM,
       }).run();
--- a/packages/bench/src/soak/soak_faults.ts
+++ b/packages/bench/src/soak/soak_faults.ts
@@ -11,6 +11,8 @@
 const BREAK_AFTER_EVENTS = 3;
 /** How long a slow service holds answers back, in milliseconds. */
 const SLOW_MS = 600;
+/** How late a slow link passes each piece on, in milliseconds. */
+const LINK_DELAY_MS = 40;
 
 /** Brings faults about, and undoes them after their time. */
 export class SoakFaults {
@@ -29,7 +31,8 @@
    *
    * @param fault - The fault.
    */
-  async runFault({ kind, forMs, target }: SoakFault): Promise<void> {
+  async runFault({ kind, forMs, target: drawn }: SoakFault): Promise<void> {
+    const target = drawn % this.#hosts.length;
     switch (kind) {
       case "kill":
       case "stop":
@@ -48,7 +51,19 @@
         return await this.#setMood("busy", forMs, this.#platform.getIp(target));
       case "engine-breaks":
       case "service-slow":
-        return await this.#runEndpointFault(kind, forMs, target);
+        return await this.#runEndpointFault(kind, forMs, drawn);
+      case "links-reset":
+        return this.#platform.links.all.forEach((link) =>
+          link.resetConnections()
+        );
+      case "links-silent":
+        return this.#platform.links.all.forEach((link) =>
+          link.silenceConnections()
+        );
+      case "link-slow":
+      case "link-holds-requests":
+      case "link-holds-answers":
+        return await this.#runLinkFault(kind, forMs, drawn);
       default:
         return this.#publish(kind);
     }
@@ -74,6 +89,29 @@
     endpoint.delayMs = 0;
   }
 
+  async #runLinkFault(
+    kind: "link-slow" | "link-holds-requests" | "link-holds-answers",
+    forMs: number,
+    target: number,
+  ): Promise<void> {
+    const { all } = this.#platform.links;
+    const link = all[target % all.length];
+    switch (kind) {
+      case "link-slow":
+        link?.setDelay(LINK_DELAY_MS);
+        break;
+      case "link-holds-requests":
+        link?.setHeld("requests");
+        break;
+      case "link-holds-answers":
+        link?.setHeld("answers");
+        break;
+    }
+    await sleep(forMs);
+    link?.setDelay(0);
+    link?.setHeld(undefined);
+  }
+
   #publish(
     kind:
       | "history-dropped"
--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -20,7 +20,12 @@
   | "engine-breaks"
   | "service-slow"
   | "configuration"
-  | "version";
+  | "version"
+  | "links-reset"
+  | "links-silent"
+  | "link-slow"
+  | "link-holds-requests"
+  | "link-holds-answers";
 
 const KINDS: readonly SoakFaultKind[] = [
   "kill",
@@ -37,6 +42,11 @@
   "service-slow",
   "configuration",
   "version",
+  "links-reset",
+  "links-silent",
+  "link-slow",
+  "link-holds-requests",
+  "link-holds-answers",
 ];
 
 /** One fault. */
@@ -45,7 +55,7 @@
   readonly kind: SoakFaultKind;
   /** How long it lasts, in milliseconds. */
   readonly forMs: number;
-  /** The number of the host or endpoint that it strikes. */
+  /** Which host, endpoint or link it strikes: this number modulo their count. */
   readonly target: number;
 }
 
@@ -53,20 +63,21 @@
 export interface SoakPlanOptions {
   readonly seed: number;
   readonly durationMs: number;
-  readonly hosts: number;
 }
 
 /** The mean pause between two faults, in milliseconds; most last longer, so that they overlap. */
 const MEAN_PAUSE_MS = 700;
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
+/** Above the number of anything that a fault can strike. */
+const MAX_TARGETS = 1_000;
 
 /**
  * Returns the faults of a seed, in the order of their times.
  *
  * @example
  * ```ts
- * const faults = createSoakPlan({ seed: 1, durationMs: 8000, hosts: 3 });
+ * const faults = createSoakPlan({ seed: 1, durationMs: 8000 });
  * ```
  * @param options - The seed and the size.
  */
@@ -84,7 +95,7 @@
       atMs,
       kind: random.getItem(KINDS) ?? "kill",
       forMs: MIN_FAULT_MS + random.getInteger(MAX_FAULT_MS - MIN_FAULT_MS),
-      target: random.getInteger(options.hosts),
+      target: random.getInteger(MAX_TARGETS),
     });
   }
 }
--- a/packages/bench/src/soak/soak_run.ts
+++ b/packages/bench/src/soak/soak_run.ts
@@ -18,7 +18,6 @@
 import { SoakFaults } from "./soak_faults.ts";
 import { createSoakPlan } from "./soak_plan.ts";
 
-const HOSTS = 3;
 const SAMPLES = 6;
 const LOT_EVERY_MS = 1_200;
 const CALL_EVERY_MS = 40;
@@ -31,7 +30,8 @@
 export interface SoakOptions {
   readonly seed: number;
   readonly durationMs: number;
-  /** The first of some twenty free ports. */
+  readonly hosts: number;
+  /** The first of some twenty free ports, and of as many a hundred further up. */
   readonly port: number;
   /** The bundle. */
   readonly program: string;
@@ -60,20 +60,23 @@
 
   constructor(options: SoakOptions) {
     this.#options = options;
-    this.#platform = new PlatformStandIn(options.port);
+    this.#platform = new PlatformStandIn(options.port, options.hosts);
     this.#checks = new SoakChecks(this.#platform.wholeText);
   }
 
   /** Runs the soak. */
   async run(): Promise<SoakReport> {
     const folder = await mkdtemp(join(tmpdir(), "briarhill-soak-"));
-    const hosts = Array.from({ length: HOSTS }, (_, number) =>
-      new HostProcess({
-        program: this.#options.program,
-        folder,
-        name: `host-${number}`,
-        settings: this.#platform.createSettings(number),
-      }));
+    const hosts = Array.from(
+      { length: this.#options.hosts },
+      (_, number) =>
+        new HostProcess({
+          program: this.#options.program,
+          folder,
+          name: `host-${number}`,
+          settings: this.#platform.createSettings(number),
+        }),
+    );
     await this.#platform.start();
     await Promise.all(hosts.map((host) => host.start()));
     try {
@@ -99,7 +102,7 @@
       (await this.#platform.call(0, "GET", READY_PATH)).status === 200
     );
     const load = [this.#sendCalls(), this.#sendLots(), this.#readLots()];
-    const plan = createSoakPlan({ seed, durationMs, hosts: HOSTS });
+    const plan = createSoakPlan({ seed, durationMs });
     await Promise.all(plan.map(async (fault) => {
       await sleep(fault.atMs);
       await faults.runFault(fault);
@@ -114,7 +117,7 @@
   async #sendCalls(): Promise<void> {
     const open: Promise<void>[] = [];
     for (let number = 0; this.#isRunning; number++) {
-      open.push(this.#sendCall(`call-${number}`, number % HOSTS));
+      open.push(this.#sendCall(`call-${number}`, number % this.#options.hosts));
       await sleep(CALL_EVERY_MS);
     }
     await Promise.all(open);
@@ -130,6 +133,7 @@
       const answer = await this.#platform.call(host, "POST", "/app/call", {
         headers,
         body: id,
+        timeoutMs: 2 * CALL_DEADLINE_MS,
       });
       this.#served += answer.status === 200 ? 1 : 0;
       this.#checks.checkCall({
@@ -149,7 +153,11 @@
     for (let number = 0; this.#isRunning; number++) {
       const lot = `lot-${number}`;
       for (let host = number; this.#isRunning; host++) {
-        const answer = await this.#platform.sendLot(host % HOSTS, lot, SAMPLES)
+        const answer = await this.#platform.sendLot(
+          host % this.#options.hosts,
+          lot,
+          SAMPLES,
+        )
           .catch(() => undefined);
         if (answer?.status === 202) {
           this.#lots.set(lot, SAMPLES);
@@ -163,7 +171,7 @@
 
   async #readLots(): Promise<void> {
     for (let number = 0; this.#isRunning; number++) {
-      await this.#readAll(number % HOSTS);
+      await this.#readAll(number % this.#options.hosts);
       await sleep(READ_EVERY_MS);
     }
   }
@@ -186,7 +194,7 @@
         await sleep(READ_EVERY_MS);
       }
     }
-    for (let host = 0; host < HOSTS; host++) {
+    for (let host = 0; host < this.#options.hosts; host++) {
       await this.#readAll(host);
     }
     this.#checks.checkWhole(this.#lots);
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -2,6 +2,7 @@
  * Stand-ins of the platform's endpoints: engines and plain services.
  * @module
  */
+import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import {
   ATTEMPT_ID,
   EXPECTED_INSTANCE,
@@ -49,6 +50,8 @@
   readonly eventMs: number;
   /** How long a load of weights takes, in milliseconds. */
   readonly loadMs: number;
+  /** Where others reach it, where that is not where it listens. */
+  readonly reachedAt?: HttpAddress;
 }
 
 /** An endpoint that speaks the platform's protocol. */
@@ -94,7 +97,8 @@
    * @param state - "ready" or "draining".
    */
   createEntry(state: "ready" | "draining" = "ready") {
-    const { service, hostname, port, zone } = this.options;
+    const { service, zone } = this.options;
+    const { hostname, port } = this.options.reachedAt ?? this.options;
     return {
       service,
       address: `${hostname}:${port}`,
--- a/packages/fakes/src/platform/host_call.ts
+++ b/packages/fakes/src/platform/host_call.ts
@@ -17,6 +17,8 @@
 export interface HostCallOptions {
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** How long the call may take, in milliseconds; it is given up after that. */
+  readonly timeoutMs?: number;
 }
 
 /**
@@ -36,7 +38,7 @@
   address: HttpAddress,
   call: HostCallOptions & { readonly method: string; readonly path: string },
 ): Promise<HostAnswer> {
-  const { method, path, headers = {}, body } = call;
+  const { method, path, headers = {}, body, timeoutMs = 30_000 } = call;
   return new Promise((resolve, reject) => {
     const outgoing = request({
       host: address.hostname,
@@ -45,6 +47,7 @@
       path,
       headers,
       agent: false,
+      signal: AbortSignal.timeout(timeoutMs),
     }, (response) => {
       const chunks: Buffer[] = [];
       response.on("data", (chunk: Buffer) => chunks.push(chunk));
--- a/packages/fakes/src/platform/platform_stand_in.ts
+++ b/packages/fakes/src/platform/platform_stand_in.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { DeadlineError } from "@briarhill/common/errors/errors";
+import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import {
   ENDPOINT_TOPIC,
   OPERATOR_TOPIC,
@@ -15,11 +16,16 @@
   type HostCallOptions,
 } from "./host_call.ts";
 import { createConfiguration, SERVICE_HOST } from "./platform_configuration.ts";
+import { getProxyAddress, PlatformLinks } from "./platform_links.ts";
 import { createHostSettings } from "./host_settings_text.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
 
 const STORE_IP = "127.0.0.1";
 const BEAT_MS = 300;
+/** How long a trainer waits for results, in milliseconds; a link may hold them back. */
+const READ_TIMEOUT_MS = 3_000;
+/** How long a trainer waits for a lot's acknowledgement, in milliseconds. */
+const HAND_IN_TIMEOUT_MS = 8_000;
 const EVENTS = 8;
 
 /** A store, endpoints and a client on addresses of the loopback network. */
@@ -27,22 +33,35 @@
   readonly store = new StoreStandIn();
   readonly engines: readonly EndpointStandIn[];
   readonly services: readonly EndpointStandIn[];
+  readonly links: PlatformLinks;
   readonly #base: number;
   #configuration = 3;
   #version = 1;
   #beats: ReturnType<typeof setInterval> | undefined;
+  readonly #hosts: number;
 
   /**
-   * @param base - The first of some twenty free ports.
+   * @param base - The first of some twenty free ports, and of as many a hundred
+   * further up where there are links.
+   * @param hosts - How many hosts are reached, and reach all else, through
+   * links that can be harmed; 0 where there are no links.
    */
-  constructor(base: number) {
+  constructor(base: number, hosts = 0) {
     this.#base = base;
+    this.#hosts = hosts;
     this.engines = [0, 1].map((number) =>
       this.#createEndpoint(`engine-${number}`, base + 10 + number, ["m0"])
     );
     this.services = [0, 1].map((number) =>
       this.#createEndpoint(`service-${number}`, base + 15 + number, [])
     );
+    this.links = new PlatformLinks({
+      store: { hostname: STORE_IP, port: base },
+      hosts: Array.from({ length: hosts }, (_, host) => this.#getAddress(host)),
+      endpoints: hosts === 0 ? [] : [...this.engines, ...this.services].map(
+        ({ options }) => options,
+      ),
+    });
   }
 
   /** Opens the store and the endpoints, and publishes the configuration. */
@@ -50,6 +69,7 @@
     await this.store.start(STORE_IP, this.#base);
     const endpoints = [...this.engines, ...this.services];
     await Promise.all(endpoints.map((endpoint) => endpoint.start()));
+    await this.links.start();
     this.store.publish(OPERATOR_TOPIC, "config", createConfiguration(3));
     this.#publishEntries();
     this.#beats = setInterval(() => this.#publishEntries(), BEAT_MS);
@@ -75,6 +95,7 @@
   /** Closes everything. */
   stop(): void {
     clearInterval(this.#beats);
+    this.links.close();
     this.store.close();
     [...this.engines, ...this.services].forEach((one) => one.close());
   }
@@ -102,8 +123,7 @@
     path: string,
     options: HostCallOptions = {},
   ): Promise<HostAnswer> {
-    const address = { hostname: this.getIp(host), port: this.#base + 1 };
-    return callHost(address, {
+    return callHost(this.#getReached(this.#getAddress(host)), {
       method,
       path,
       ...options,
@@ -136,8 +156,9 @@
     return this.call(host, "POST", `/rollout/${lot}`, {
       headers: {
         "X-Briarhill-Attempt-Id": lot,
-        "X-Briarhill-Deadline-Ms": "8000",
+        "X-Briarhill-Deadline-Ms": String(HAND_IN_TIMEOUT_MS),
       },
+      timeoutMs: HAND_IN_TIMEOUT_MS,
       body: JSON.stringify({
         step: 0,
         model: "m0",
@@ -159,7 +180,7 @@
       host,
       "GET",
       `/briarhill/lots/${lot}?after=0`,
-      { headers: { "X-Briarhill-Wait-Ms": "100" } },
+      { headers: { "X-Briarhill-Wait-Ms": "100" }, timeoutMs: READ_TIMEOUT_MS },
     );
     return status === 200 ? JSON.parse(body.toString()).results : [];
   }
@@ -199,6 +220,15 @@
     throw new DeadlineError("the condition never held");
   }
 
+  #getAddress(host: number): HttpAddress {
+    return { hostname: this.getIp(host), port: this.#base + 1 };
+  }
+
+  /** Returns where a target is reached. */
+  #getReached(target: HttpAddress): HttpAddress {
+    return this.#hosts > 0 ? getProxyAddress(target) : target;
+  }
+
   #createEndpoint(
     id: string,
     port: number,
@@ -214,6 +244,7 @@
       events: EVENTS,
       eventMs: 5,
       loadMs: 100,
+      reachedAt: this.#getReached({ hostname: "127.0.0.1", port }),
     });
   }
 
@@ -230,10 +261,14 @@
    * @param host - Its number.
    */
   createSettings(host: number): string {
+    const ip = this.getIp(host);
+    const store = this.#hosts > 0
+      ? getProxyAddress({ hostname: ip, port: this.#base })
+      : { hostname: STORE_IP, port: this.#base };
     return createHostSettings({
       name: `host-${host}`,
-      ip: this.getIp(host),
-      store: `${STORE_IP}:${this.#base}`,
+      ip,
+      store: `${store.hostname}:${store.port}`,
       port: this.#base + 1,
     });
   }
--- /dev/null
+++ b/packages/fakes/test/platform/fault_proxy_test.ts
@@ -0,0 +1,108 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { after, before, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { FaultProxy } from "../../src/platform/fault_proxy.ts";
+
+const HOSTNAME = "127.0.0.1";
+const PROXY_PORT = 21_390;
+/** Long enough for bytes to pass two sockets of loopback many times. */
+const SETTLE_MS = 60;
+
+/** What one client has seen of its connection. */
+interface Client {
+  readonly socket: Socket;
+  received: string;
+  isClosed: boolean;
+}
+
+async function openClient(): Promise<Client> {
+  const socket = connect(PROXY_PORT, HOSTNAME);
+  const client = { socket, received: "", isClosed: false };
+  socket.on("data", (bytes) => client.received += String(bytes));
+  socket.on("error", () => undefined);
+  socket.on("close", () => client.isClosed = true);
+  await once(socket, "connect");
+  return client;
+}
+
+describe("FaultProxy", () => {
+  const echo = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.pipe(socket);
+  });
+  let proxy: FaultProxy;
+
+  before(async () => {
+    echo.listen(0, HOSTNAME);
+    await once(echo, "listening");
+    const { port } = echo.address() as AddressInfo;
+    proxy = new FaultProxy({
+      listen: { hostname: HOSTNAME, port: PROXY_PORT },
+      target: { hostname: HOSTNAME, port },
+    });
+    await proxy.start();
+  });
+
+  after(() => {
+    proxy.close();
+    echo.close();
+  });
+
+  beforeEach(() => {
+    proxy.setHeld(undefined);
+    proxy.setDelay(0);
+  });
+
+  it("passes bytes on in their order", async () => {
+    const client = await openClient();
+    proxy.setDelay(1);
+    ["a", "b", "c"].forEach((text) => client.socket.write(text));
+    await sleep(SETTLE_MS);
+    assert.equal(client.received, "abc");
+    client.socket.end();
+    await sleep(SETTLE_MS);
+    assert.equal(client.isClosed, true);
+  });
+
+  it("holds one direction back and passes it on later", async () => {
+    for (const direction of ["requests", "answers"] as const) {
+      const client = await openClient();
+      proxy.setHeld(direction);
+      client.socket.write("held");
+      await sleep(SETTLE_MS);
+      assert.equal(client.received, "");
+      proxy.setHeld(undefined);
+      await sleep(SETTLE_MS);
+      assert.equal(client.received, "held");
+      client.socket.destroy();
+    }
+  });
+
+  it("resets open connections", async () => {
+    const client = await openClient();
+    client.socket.write("a");
+    await sleep(SETTLE_MS);
+    proxy.resetConnections();
+    await sleep(SETTLE_MS);
+    assert.equal(client.isClosed, true);
+  });
+
+  it("silences open connections while new ones work", async () => {
+    const old = await openClient();
+    old.socket.write("a");
+    await sleep(SETTLE_MS);
+    proxy.silenceConnections();
+    old.socket.write("b");
+    const fresh = await openClient();
+    fresh.socket.write("c");
+    await sleep(SETTLE_MS);
+    assert.deepEqual(
+      [old.received, old.isClosed, fresh.received],
+      ["a", false, "c"],
+    );
+    old.socket.destroy();
+    fresh.socket.destroy();
+  });
+});
