--- a/packages/bench/src/soak/soak_checks.ts
+++ b/packages/bench/src/soak/soak_checks.ts
@@ -6,7 +6,7 @@
   ReceivedOrder,
   ReceivedRun,
 } from "@briarhill/fakes/platform/endpoint_stand_in";
-import type { LotResult } from "@briarhill/fakes/platform/platform_stand_in";
+import type { LotResult } from "@briarhill/fakes/platform/trainer_calls";
 
 /** A promise that was broken, with the ids that show it. */
 export interface SoakBreach {
--- a/packages/bench/src/soak/soak_faults.ts
+++ b/packages/bench/src/soak/soak_faults.ts
@@ -54,11 +54,11 @@
         return await this.#runEndpointFault(kind, forMs, drawn);
       case "links-reset":
         return this.#platform.links.all.forEach((link) =>
-          link.resetConnections()
+          link.abortConnections()
         );
       case "links-silent":
         return this.#platform.links.all.forEach((link) =>
-          link.silenceConnections()
+          link.suspendConnections()
         );
       case "link-slow":
       case "link-holds-requests":
--- a/packages/bench/test/soak/soak_checks_test.ts
+++ b/packages/bench/test/soak/soak_checks_test.ts
@@ -1,4 +1,4 @@
-import type { LotResult } from "@briarhill/fakes/platform/platform_stand_in";
+import type { LotResult } from "@briarhill/fakes/platform/trainer_calls";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { SoakChecks } from "../../src/soak/soak_checks.ts";
--- a/packages/fakes/src/platform/fault_proxy.ts
+++ b/packages/fakes/src/platform/fault_proxy.ts
@@ -58,7 +58,7 @@
   /** Stops listening and ends all connections. */
   close(): void {
     this.#server.close();
-    this.resetConnections();
+    this.abortConnections();
   }
 
   /**
@@ -81,7 +81,7 @@
   }
 
   /** Resets all open connections. */
-  resetConnections(): void {
+  abortConnections(): void {
     for (const { near, far } of this.#connections) {
       near.resetAndDestroy();
       far.resetAndDestroy();
@@ -89,7 +89,7 @@
   }
 
   /** Lets all open connections go silent for good; new ones work. */
-  silenceConnections(): void {
+  suspendConnections(): void {
     this.#connections.forEach((connection) => connection.isSilent = true);
   }
 
@@ -103,11 +103,11 @@
     });
     const connection = { near, far, isSilent: false };
     this.#connections.add(connection);
-    this.#passOn(connection, near, far);
-    this.#passOn(connection, far, near);
+    this.#forwardBytes(connection, near, far);
+    this.#forwardBytes(connection, far, near);
   }
 
-  #passOn(connection: ProxiedConnection, from: Socket, to: Socket): void {
+  #forwardBytes(connection: ProxiedConnection, from: Socket, to: Socket): void {
     const direction = from === connection.near ? "requests" : "answers";
     let last = Promise.resolve();
     const enqueue = (step: () => void) => {
--- a/packages/fakes/test/platform/fault_proxy_test.ts
+++ b/packages/fakes/test/platform/fault_proxy_test.ts
@@ -84,7 +84,7 @@
     const client = await openClient();
     client.socket.write("a");
     await sleep(SETTLE_MS);
-    proxy.resetConnections();
+    proxy.abortConnections();
     await sleep(SETTLE_MS);
     assert.equal(client.isClosed, true);
   });
@@ -93,7 +93,7 @@
     const old = await openClient();
     old.socket.write("a");
     await sleep(SETTLE_MS);
-    proxy.silenceConnections();
+    proxy.suspendConnections();
     old.socket.write("b");
     const fresh = await openClient();
     fresh.socket.write("c");
