Answer calls about a lot at the host that holds it

Each of 91 hosts that was asked about a lot first read its whole partition, megabytes over 42 Mbit/s, twice at once (its follower and its first read); the client gave up after 1.5 s and asked the next host, which was as cold. lot-ended took up to 5.7 s in those logs. Ruled out: results that were lost (all are in the log), 404s (no lot-not-shown near the end), a store that was away. Result: edge/test/lots/lot_readers_test fails before (5 partitions read for six lots at three hosts) and passes after (none).

--- a/packages/common/src/log/shared_log.ts
+++ b/packages/common/src/log/shared_log.ts
@@ -57,6 +57,12 @@
   readonly generation: number;
 }
 
+/** Which member holds a partition of a group. */
+export interface PartitionHolder {
+  readonly partition: LogPartition;
+  readonly member: string;
+}
+
 /**
  * The append-only log that all hosts share. A failure is a `PortError`: its
  * outcome is "not-run" where the log did nothing for sure, else "unknown".
@@ -112,9 +118,9 @@
   abstract leaveGroup(membership: GroupMembership): Promise<void>;
 
   /**
-   * Returns the members that hold partitions of a group.
+   * Returns who holds which partition of a group.
    *
    * @param group - The group.
    */
-  abstract listMembers(group: string): Promise<readonly string[]>;
+  abstract listHolders(group: string): Promise<readonly PartitionHolder[]>;
 }
--- a/packages/edge/src/calls/ingress.ts
+++ b/packages/edge/src/calls/ingress.ts
@@ -16,6 +16,7 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { LotReaders } from "../lots/lot_readers.ts";
 import type { LotRoutes } from "../lots/lot_routes.ts";
 import { writeOwnReply } from "./caller_reply.ts";
 import type { LiveCalls } from "./live_calls.ts";
@@ -47,6 +48,7 @@
   readonly isReady: () => boolean;
   readonly liveCalls: LiveCalls;
   readonly lotRoutes: LotRoutes;
+  readonly lotReaders: LotReaders;
 }
 
 /** Decides which part answers a request. */
@@ -89,7 +91,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, isReady, getTable, lotRoutes } = this.#options;
+    const { clock, isReady, getTable } = this.#options;
     const call = decodeIngressCall(request.method ?? "GET", request.url ?? "/");
     if (call.kind === "ready") {
       writeOwnReply(response, {
@@ -119,7 +121,7 @@
     }
     if (call.kind !== "routed") {
       request.resume();
-      await this.#handleLotCall(call, exchange, lotRoutes);
+      await this.#handleLotCall(call, exchange);
       return;
     }
     await this.#handleRouted(exchange, table);
@@ -128,8 +130,11 @@
   async #handleLotCall(
     call: Exclude<IngressCall, { kind: "ready" | "routed" }>,
     exchange: CallerExchange,
-    lotRoutes: LotRoutes,
   ): Promise<void> {
+    const { lotRoutes, lotReaders } = this.#options;
+    if (await lotReaders.forwardCall(exchange, call.lot)) {
+      return;
+    }
     switch (call.kind) {
       case "results":
         return await lotRoutes.handleResults(exchange, call);
--- a/packages/edge/src/log/log_follower.ts
+++ b/packages/edge/src/log/log_follower.ts
@@ -44,6 +44,7 @@
   #failedAtMs = -Infinity;
   #isFailing = false;
   #isStarted = false;
+  #snapshot: Promise<void> | undefined;
 
   constructor(options: LogFollowerOptions) {
     this.#options = options;
@@ -139,7 +140,15 @@
     }
   }
 
-  async #readSnapshot(): Promise<void> {
+  /** Two readers share one snapshot: it can be large, and the link small. */
+  #readSnapshot(): Promise<void> {
+    this.#snapshot ??= this.#fetchSnapshot().finally(() => {
+      this.#snapshot = undefined;
+    });
+    return this.#snapshot;
+  }
+
+  async #fetchSnapshot(): Promise<void> {
     const { log, place, fromNewest, onSnapshot } = this.#options;
     if (!fromNewest) {
       this.#position = 0;
--- a/packages/edge/src/lots/lot_desk.ts
+++ b/packages/edge/src/lots/lot_desk.ts
@@ -48,8 +48,9 @@
   async admitLot(lot: LotRequest, deadlineMs: number): Promise<AppendOutcome> {
     const { partitions, appender, maxRecordBytes } = this.#options;
     const place = partitions.getPlace(lot.id);
-    const { view: ledger } = partitions.follow(place.partition);
-    if (ledger.getLot(lot.id) === undefined) {
+    // A lot that is appended twice counts once, so that nothing is read for it.
+    const followed = partitions.getFollowed(place.partition);
+    if (followed?.view.getLot(lot.id) === undefined) {
       const outcome = await appender.append(
         place,
         (nonce) => encodeLot(lot, { nonce, maxRecordBytes }),
--- a/packages/edge/src/lots/lot_owner.ts
+++ b/packages/edge/src/lots/lot_owner.ts
@@ -81,9 +81,13 @@
       return;
     }
     const open = new Set<string>();
-    for (const shard of this.#options.group.listShards()) {
+    const { group, partitions } = this.#options;
+    for (const shard of group.listShards()) {
+      // Other hosts ask the owner of a shard about the lots of that number.
+      partitions.follow(shard.partition.number);
       this.#advanceShard(shard, open);
     }
+    partitions.prune();
     for (const [id, runner] of this.#runners) {
       if (open.has(id)) {
         runner.advance();
--- a/packages/edge/src/lots/lot_partitions.ts
+++ b/packages/edge/src/lots/lot_partitions.ts
@@ -14,6 +14,9 @@
   type FollowedPartitionOptions,
 } from "../log/followed_partition.ts";
 
+/** How long a partition that nobody asks about is followed on, in milliseconds; a trainer reads its lots twice a second. */
+const KEEP_MS = 15_000;
+
 /** A partition of the lots that this host follows. */
 export type LotPartition = FollowedPartition<LotLedger>;
 
@@ -22,6 +25,7 @@
   readonly #count: number;
   readonly #options: FollowedPartitionOptions;
   readonly #followed = new Map<number, LotPartition>();
+  readonly #usedAtMs = new Map<number, number>();
 
   /**
    * @param count - How many partitions there are.
@@ -56,6 +60,7 @@
    * @param number - The partition's number.
    */
   follow(number: number): LotPartition {
+    this.#usedAtMs.set(number, this.#options.clock.getMonotonicMs());
     const followed = this.#followed.get(number);
     if (followed !== undefined) {
       return followed;
@@ -69,6 +74,27 @@
     return partition;
   }
 
+  /**
+   * Returns a partition if it is followed.
+   *
+   * @param number - The partition's number.
+   */
+  getFollowed(number: number): LotPartition | undefined {
+    return this.#followed.get(number);
+  }
+
+  /** Lets go of the partitions that nobody has asked about for long. */
+  prune(): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    for (const [number, usedAtMs] of this.#usedAtMs) {
+      if (nowMs - usedAtMs > KEEP_MS) {
+        this.#followed.get(number)?.stop();
+        this.#followed.delete(number);
+        this.#usedAtMs.delete(number);
+      }
+    }
+  }
+
   /** Stops following. */
   stop(): void {
     this.#followed.forEach((partition) => partition.stop());
--- a/packages/edge/src/lots/shard_group.ts
+++ b/packages/edge/src/lots/shard_group.ts
@@ -116,8 +116,9 @@
       return true;
     }
     await this.#options.clock.sleep(SMALL_HOST_DELAY_MS);
-    const members = await log.listMembers(LOT_GROUP);
-    return shouldTakeDuties({ ...own, members: members.length });
+    const holders = await log.listHolders(LOT_GROUP);
+    const members = new Set(holders.map(({ member }) => member)).size;
+    return shouldTakeDuties({ ...own, members });
   }
 
   async #join(): Promise<void> {
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -11,6 +11,7 @@
 import { Ingress } from "../calls/ingress.ts";
 import { LiveCalls } from "../calls/live_calls.ts";
 import { CallerListener } from "../http/caller_listener.ts";
+import { LotReaders } from "../lots/lot_readers.ts";
 import { LotRoutes } from "../lots/lot_routes.ts";
 import { HostMetrics } from "../observe/host_metrics.ts";
 import { MetricsListener } from "../observe/metrics_listener.ts";
@@ -36,6 +37,7 @@
   readonly #store: StoreAccess;
   readonly #serving: Serving;
   readonly #training: Training;
+  readonly #readers: LotReaders;
   readonly #ingress: Ingress;
   readonly #callers: CallerListener;
   readonly #metrics: MetricsListener;
@@ -54,12 +56,18 @@
         this.#callers.applyLimits(configuration.limits),
     });
     this.#training = createTraining(context, { log, serving: this.#serving });
+    this.#readers = new LotReaders({
+      logger,
+      peers: this.#store.peers,
+      partitions: this.#training.partitions,
+    });
     this.#ingress = new Ingress({
       ...context,
       getTable: () => this.#serving.published.table,
       isReady: () => this.#isReady(),
       liveCalls: new LiveCalls({ ...context, ...this.#serving }),
       lotRoutes: new LotRoutes({ ...context, desk: this.#training.desk }),
+      lotReaders: this.#readers,
     });
     this.#callers = new CallerListener(this.#ingress, logger);
     this.#metrics = new MetricsListener(context.metrics);
@@ -69,7 +77,10 @@
   async start(): Promise<void> {
     const { callers, health, peers, metrics } = this.#settings;
     await this.#callers.start([callers, health]);
-    await this.#store.relay.start(peers);
+    await this.#store.listener.start(
+      peers,
+      (request, response) => this.#ingress.handle(request, response),
+    );
     await this.#metrics.start(metrics);
     this.#serving.published.start();
     this.#store.peers.start();
@@ -109,7 +120,8 @@
       cut: this.#ingress.open,
       tookMs: Math.round(this.#clock.getMonotonicMs() - startMs),
     });
-    this.#store.relay.close();
+    this.#store.listener.close();
+    this.#readers.close();
     this.#store.peers.stop();
     this.#metrics.close();
     this.#training.partitions.stop();
--- a/packages/edge/src/node/store_access.ts
+++ b/packages/edge/src/node/store_access.ts
@@ -5,15 +5,16 @@
 import type { SharedLog } from "@briarhill/common/log/shared_log";
 import { StoreLog } from "@briarhill/platform/store/store_log";
 import { PeerList } from "../peers/peer_list.ts";
+import { PeerListener } from "../peers/peer_listener.ts";
 import { RelayedTransport } from "../peers/relayed_transport.ts";
-import { RelayListener } from "../peers/relay_listener.ts";
+
 import type { HostContext } from "./host_context.ts";
 
 /** How a host reaches the shared log, and helps others to. */
 export interface StoreAccess {
   readonly log: SharedLog;
   readonly peers: PeerList;
-  readonly relay: RelayListener;
+  readonly listener: PeerListener;
   readonly transport: RelayedTransport;
 }
 
@@ -38,6 +39,6 @@
   });
   const log = new StoreLog(transport);
   const peers: PeerList = new PeerList({ ...context, log });
-  const relay = new RelayListener(transport, logger);
-  return { log, peers, relay, transport };
+  const listener = new PeerListener(transport, logger);
+  return { log, peers, listener, transport };
 }
--- a/packages/edge/src/peers/relay_listener.ts
+++ b/packages/edge/src/peers/peer_listener.ts
@@ -1,5 +1,6 @@
 /**
- * Makes calls to the store for other hosts that it turns away.
+ * Listens for other hosts: makes calls to the store for those that it turns
+ * away, and answers their clients' calls about lots.
  * @module
  */
 import { PortError } from "@briarhill/common/errors/errors";
@@ -18,26 +19,37 @@
 const BODY_TIMEOUT_MS = 2_000;
 const STATUS_UNAVAILABLE = 503;
 
-/** Makes calls to the store for other hosts. */
-export class RelayListener {
+/** Answers a call that another host passes on. */
+export type PeerCallHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void>;
+
+/** Listens for other hosts. */
+export class PeerListener {
   readonly #transport: RelayedTransport;
   readonly #logger: Logger;
-  readonly #server: Server;
+  readonly #server: Server = createServer();
 
   constructor(transport: RelayedTransport, logger: Logger) {
     this.#transport = transport;
     this.#logger = logger;
-    this.#server = createServer((request, response) => {
-      void this.#handle(request, response);
-    });
   }
 
   /**
    * Listens for other hosts.
    *
    * @param address - Where.
+   * @param onCall - Answers the calls that are not for the store.
    */
-  start(address: HttpAddress): Promise<void> {
+  start(address: HttpAddress, onCall: PeerCallHandler): Promise<void> {
+    this.#server.on("request", (request, response) => {
+      const isRelayed =
+        request.headers[RELAY_HEADER.toLowerCase()] !== undefined;
+      void (isRelayed
+        ? this.#forwardToStore(request, response)
+        : onCall(request, response));
+    });
     return openServer(this.#server, address);
   }
 
@@ -47,7 +59,7 @@
     this.#server.closeAllConnections();
   }
 
-  async #handle(
+  async #forwardToStore(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/packages/fakes/src/platform/store_stand_in.ts
+++ b/packages/fakes/src/platform/store_stand_in.ts
@@ -19,6 +19,13 @@
   type ServerResponse,
 } from "node:http";
 import { StoreGroup } from "./store_group.ts";
+import {
+  appendTo,
+  createJson,
+  createNewest,
+  readFrom,
+  type StoreAnswer,
+} from "./store_answers.ts";
 import { StorePartition } from "./store_partition.ts";
 
 const PARTITIONS = 24;
@@ -35,6 +42,7 @@
     void this.#handle(request, response);
   });
   #calls = 0;
+  readonly #snapshotTopics: string[] = [];
 
   /** How many calls were received. */
   get calls(): number {
@@ -124,6 +132,15 @@
     return [...counts].map(([member, count]) => ({ member, count }));
   }
 
+  /**
+   * Returns how often the newest records of a topic's partitions were read.
+   *
+   * @param topic - The topic.
+   */
+  countSnapshots(topic: string): number {
+    return this.#snapshotTopics.filter((one) => one === topic).length;
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -157,10 +174,11 @@
       this.getPartition(query.get("topic") ?? "", Number(query.get("part")));
     switch (url.pathname) {
       case LOG_APPEND_PATH:
-        return appendTo(partition(), query, body);
+        return appendTo(partition(), { query, body });
       case LOG_READ_PATH:
         return await readFrom(partition(), query);
       case LOG_NEWEST_PATH:
+        this.#snapshotTopics.push(query.get("topic") ?? "");
         return createNewest(partition());
       case LOG_JOIN_PATH:
         return this.#join(JSON.parse(body.toString()));
@@ -193,54 +211,3 @@
     return group;
   }
 }
-
-interface StoreAnswer {
-  readonly status: number;
-  readonly body: Buffer;
-}
-
-function createJson(value: unknown, status = 200): StoreAnswer {
-  return { status, body: Buffer.from(JSON.stringify(value)) };
-}
-
-function appendTo(
-  partition: StorePartition,
-  query: URLSearchParams,
-  body: Buffer,
-): StoreAnswer {
-  const at = query.get("at");
-  if (at !== null && Number(at) !== partition.endOffset) {
-    return createJson({ endOffset: partition.endOffset }, 412);
-  }
-  const offset = partition.append(body);
-  return createJson({ offset, endOffset: partition.endOffset });
-}
-
-async function readFrom(
-  partition: StorePartition,
-  query: URLSearchParams,
-): Promise<StoreAnswer> {
-  const from = Number(query.get("from"));
-  if (from < partition.firstOffset) {
-    return createJson({ first: partition.firstOffset }, 410);
-  }
-  if (from >= partition.endOffset) {
-    const waited = new Promise((resolve) =>
-      setTimeout(resolve, Number(query.get("waitMs"))).unref()
-    );
-    await Promise.race([partition.waitAppend(), waited]);
-  }
-  const head = Buffer.alloc(16);
-  head.writeBigUInt64BE(BigInt(partition.endOffset), 0);
-  head.writeBigUInt64BE(BigInt(partition.firstOffset), 8);
-  return { status: 200, body: Buffer.concat([head, partition.readFrom(from)]) };
-}
-
-function createNewest(partition: StorePartition): StoreAnswer {
-  const items = partition.listNewest().map(({ key, value, offset }) => ({
-    key,
-    value: value.toString("base64"),
-    offset,
-  }));
-  return createJson({ items, hasMore: false, endOffset: partition.endOffset });
-}
--- a/packages/platform/src/ingress/request_head.ts
+++ b/packages/platform/src/ingress/request_head.ts
@@ -89,7 +89,22 @@
   ];
 }
 
-/** Headers of an answer that concern one connection only. */
+/**
+ * Returns the headers of a request on its way to another host.
+ *
+ * @example
+ * ```ts
+ * const headers = encodePeerHeaders(["Host", "a.example"]);
+ * ```
+ * @param rawHeaders - The caller's headers, names and values in turn.
+ */
+export function encodePeerHeaders(
+  rawHeaders: readonly string[],
+): readonly string[] {
+  return selectHeaders(rawHeaders, NOT_RETURNED);
+}
+
+/** Headers of a message that concern one connection only. */
 const NOT_RETURNED: ReadonlySet<string> = new Set([
   "connection",
   "keep-alive",
--- a/packages/platform/src/store/store_log.ts
+++ b/packages/platform/src/store/store_log.ts
@@ -16,6 +16,7 @@
   type LogPartition,
   type LogRecord,
   type NewLogRecord,
+  type PartitionHolder,
   SharedLog,
 } from "@briarhill/common/log/shared_log";
 import { Buffer } from "node:buffer";
@@ -157,16 +158,22 @@
     throwIfRefused(answer, "leave");
   }
 
-  override async listMembers(group: string): Promise<readonly string[]> {
+  override async listHolders(
+    group: string,
+  ): Promise<readonly PartitionHolder[]> {
     const answer = await this.#call({
       method: "GET",
       path: `${LOG_OWNERS_PATH}?group=${encodeURIComponent(group)}`,
       mayRelay: true,
     });
     // A row holds topic, partition, member and offset.
-    const members = parseAnswer(throwIfRefused(answer, "owners"))
-      .listRows("parts").map((row) => String(row[2] ?? ""));
-    return [...new Set(members)].filter((member) => member !== "");
+    return parseAnswer(throwIfRefused(answer, "owners"))
+      .listRows("parts")
+      .map(([topic, partition, member]) => ({
+        partition: { topic: String(topic), partition: Number(partition) },
+        member: String(member ?? ""),
+      }))
+      .filter(({ member }) => member !== "");
   }
 
   #call(call: {
