Answer for another host only from a log that was read within a second

Cause: a host that holds a lot may be cut off from the log, or was suspended, while the host that passes the call on is not; it would show less than what others have shown a second before, which breaks LOST. Ruled out: the monotonic clock alone, which stands still while suspended; asking two holders; the same check for a host's own clients, who see what it knows while the store is away, as before. Change: the age of a partition by both clocks; a forwarded call reads the log first where it is over 950 ms, and is refused where it can't; long reads of 700 ms, so that an idle partition is never older. All scoring calls of a lot may wait for one signal (MaxListenersExceededWarning in grown logs). Result: edge/test/lots/lot_desk_test fails without the check and passes with it.

--- a/packages/edge/src/calls/ingress.ts
+++ b/packages/edge/src/calls/ingress.ts
@@ -16,7 +16,7 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { LotReaders } from "../lots/lot_readers.ts";
+import { isForwardedCall, type LotReaders } from "../lots/lot_readers.ts";
 import type { LotRoutes } from "../lots/lot_routes.ts";
 import { writeOwnReply } from "./caller_reply.ts";
 import type { LiveCalls } from "./live_calls.ts";
@@ -32,6 +32,8 @@
   readonly head: RequestHead;
   /** When the request arrived, on the monotonic clock. */
   readonly arrivedAtMs: number;
+  /** Whether another host passes it on for its client. */
+  readonly isForwarded: boolean;
 }
 
 /** A request for a route, with its whole body. */
@@ -105,6 +107,7 @@
       response,
       head: decodeRequestHead(request.headers),
       arrivedAtMs: clock.getMonotonicMs(),
+      isForwarded: isForwardedCall(request.headers),
     };
     const table = getTable();
     if (table === undefined) {
--- a/packages/edge/src/log/followed_partition.ts
+++ b/packages/edge/src/log/followed_partition.ts
@@ -14,7 +14,7 @@
 import { LogFollower } from "./log_follower.ts";
 
 /** The longest wait of one read, in milliseconds: a silent connection shows this late. */
-const READ_WAIT_MS = 900;
+const READ_WAIT_MS = 700;
 
 /** What a view needs to do with a record. */
 export interface RecordView {
@@ -66,9 +66,9 @@
     this.#follower.start();
   }
 
-  /** When the partition was last read to its end, on the monotonic clock. */
-  get currentAtMs(): number {
-    return this.#follower.currentAtMs;
+  /** How long ago it was last read to its end, in milliseconds. */
+  getAgeMs(): number {
+    return this.#follower.getAgeMs();
   }
 
   /** Reads to the end of the partition now; throws a `PortError` where the log can't be read. */
--- a/packages/edge/src/log/log_follower.ts
+++ b/packages/edge/src/log/log_follower.ts
@@ -41,6 +41,7 @@
   #position: number | undefined;
   #endOffset = 0;
   #currentAtMs = -Infinity;
+  #currentAtWallMs = -Infinity;
   #failedAtMs = -Infinity;
   #isFailing = false;
   #isStarted = false;
@@ -55,6 +56,19 @@
     return this.#currentAtMs;
   }
 
+  /**
+   * How long ago the partition was last read to its end, in milliseconds, by
+   * the clock that has gone further: the monotonic one stands still while a host is
+   * suspended.
+   */
+  getAgeMs(): number {
+    const { clock } = this.#options;
+    return Math.max(
+      clock.getMonotonicMs() - this.#currentAtMs,
+      clock.getWallMs() - this.#currentAtWallMs,
+    );
+  }
+
   /** When a read failed last, on the monotonic clock. */
   get failedAtMs(): number {
     return this.#failedAtMs;
@@ -160,7 +174,7 @@
     onSnapshot(records.filter(({ offset }) => offset < nextOffset));
     this.#position = nextOffset;
     this.#endOffset = nextOffset;
-    this.#currentAtMs = this.#options.clock.getMonotonicMs();
+    this.#setCurrent();
   }
 
   /** Two reads may overlap; only what lies beyond the position is new. */
@@ -174,7 +188,7 @@
     this.#position = Math.max(position, batch.nextOffset);
     this.#endOffset = Math.max(this.#endOffset, batch.endOffset);
     if (this.#position >= this.#endOffset) {
-      this.#currentAtMs = this.#options.clock.getMonotonicMs();
+      this.#setCurrent();
     }
     if (fresh.length > 0) {
       this.#options.onRecords(fresh);
@@ -182,6 +196,12 @@
     return fresh.length > 0;
   }
 
+  #setCurrent(): void {
+    const { clock } = this.#options;
+    this.#currentAtMs = clock.getMonotonicMs();
+    this.#currentAtWallMs = clock.getWallMs();
+  }
+
   #setFailing(isFailing: boolean, error?: unknown): void {
     const { logger, place, clock } = this.#options;
     if (isFailing) {
--- a/packages/edge/src/lots/lot_desk.ts
+++ b/packages/edge/src/lots/lot_desk.ts
@@ -15,6 +15,8 @@
 
 /** How fresh a partition has to be to say that a lot doesn't exist, in milliseconds. */
 const FRESH_MS = 50;
+/** How fresh it has to be to answer for another host, in milliseconds: below the bound of the platform (1 s) after which no host may lack what another has shown. */
+export const FORWARDED_FRESH_MS = 950;
 
 /** What a desk needs. */
 export interface LotDeskOptions {
@@ -107,15 +109,18 @@
    * Returns a lot; one that is not known yet is looked for at the end of the log.
    *
    * @param id - The lot.
+   * @param freshMs - How long ago the log may have been read for a lot that is
+   * known, in milliseconds.
    */
-  async findLot(id: LotId): Promise<LotAnswer> {
-    const { partitions, clock } = this.#options;
+  async findLot(id: LotId, freshMs = Infinity): Promise<LotAnswer> {
+    const { partitions } = this.#options;
     const partition = partitions.follow(partitions.getPlace(id).partition);
     const known = partition.view.getLot(id);
-    if (known !== undefined) {
+    const ageMs = partition.getAgeMs();
+    if (known !== undefined && ageMs <= freshMs) {
       return { kind: "found", lot: known };
     }
-    if (clock.getMonotonicMs() - partition.currentAtMs > FRESH_MS) {
+    if (ageMs > FRESH_MS) {
       try {
         await partition.readToEnd();
       } catch (error) {
--- a/packages/edge/src/lots/lot_readers.ts
+++ b/packages/edge/src/lots/lot_readers.ts
@@ -14,13 +14,14 @@
   encodePeerHeaders,
   encodeReturnedHeaders,
 } from "@briarhill/platform/ingress/request_head";
+import type { IncomingHttpHeaders } from "node:http";
 import { writeWhole } from "../calls/caller_reply.ts";
 import type { CallerExchange } from "../calls/ingress.ts";
 import type { PeerList } from "../peers/peer_list.ts";
 import type { LotPartitions } from "./lot_partitions.ts";
 
 /** The header by which a host knows a call that another host passes on. */
-export const FORWARDED_HEADER = "Briarhill-Forwarded";
+const FORWARDED_HEADER = "Briarhill-Forwarded";
 /** The longest wait for the head of an answer beyond that which the client asks for, in milliseconds; clients allow 1,500. */
 const HEAD_TIMEOUT_MS = 500;
 /** The longest wait for the rest, in milliseconds: a page of 1 MB over a small link. */
@@ -63,10 +64,8 @@
     const { partitions, peers, logger } = this.#options;
     const { partition } = partitions.getPlace(lot);
     const peer = peers.getHolder(partition);
-    const isForwarded =
-      exchange.request.headers[FORWARDED_HEADER.toLowerCase()] !== undefined;
     const isHeld = partitions.getFollowed(partition) !== undefined;
-    if (isForwarded || isHeld || peer === undefined) {
+    if (exchange.isForwarded || isHeld || peer === undefined) {
       return false;
     }
     try {
@@ -109,3 +108,16 @@
     return true;
   }
 }
+
+/**
+ * Tells whether another host passes a call on.
+ *
+ * @example
+ * ```ts
+ * const isForwarded = isForwardedCall({ "briarhill-forwarded": "1" });
+ * ```
+ * @param headers - The headers of the call.
+ */
+export function isForwardedCall(headers: IncomingHttpHeaders): boolean {
+  return headers[FORWARDED_HEADER.toLowerCase()] !== undefined;
+}
--- a/packages/edge/src/lots/lot_routes.ts
+++ b/packages/edge/src/lots/lot_routes.ts
@@ -12,7 +12,11 @@
 import { writeOwnReply, writeWhole } from "../calls/caller_reply.ts";
 import type { CallerExchange, RoutedExchange } from "../calls/ingress.ts";
 import type { HostMetrics } from "../observe/host_metrics.ts";
-import type { LotAnswer, LotDesk } from "./lot_desk.ts";
+import {
+  FORWARDED_FRESH_MS,
+  type LotAnswer,
+  type LotDesk,
+} from "./lot_desk.ts";
 
 /** The longest try to keep a lot, in milliseconds: the store is seldom away longer. */
 const ACCEPT_BOUND_MS = 6_000;
@@ -88,7 +92,7 @@
     read: { readonly lot: string; readonly after: number },
   ): Promise<void> {
     const { desk } = this.#options;
-    const answer = await desk.findLot(read.lot);
+    const answer = await desk.findLot(read.lot, getFreshMs(exchange));
     if (answer.kind !== "found") {
       this.#writeMissing(exchange, read.lot, answer);
       return;
@@ -145,7 +149,10 @@
     exchange: CallerExchange,
     read: { readonly lot: string; readonly sample: string },
   ): Promise<void> {
-    const answer = await this.#options.desk.findLot(read.lot);
+    const answer = await this.#options.desk.findLot(
+      read.lot,
+      getFreshMs(exchange),
+    );
     if (answer.kind !== "found") {
       this.#writeMissing(exchange, read.lot, answer);
       return;
@@ -188,3 +195,8 @@
     });
   }
 }
+
+/** A host that answers for another one may itself be cut off from the log, and the other one not. */
+function getFreshMs({ isForwarded }: CallerExchange): number {
+  return isForwarded ? FORWARDED_FRESH_MS : Infinity;
+}
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -8,6 +8,7 @@
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
+import { setMaxListeners } from "node:events";
 import type { GenerationReport } from "./generation_report.ts";
 import type { ProgressKeeper } from "./progress_keeper.ts";
 import type { ResultSettler } from "./result_settler.ts";
@@ -45,6 +46,8 @@
 
   constructor(lot: LedgerLot, options: LotRunnerOptions) {
     this.#options = options;
+    // All scoring calls of a lot wait for the one signal.
+    setMaxListeners(0, this.#stopping.signal);
     this.#work = new LotWork(lot, options.resumeAtMs);
     this.#runs = new RunningSamples(options, lot);
     const { minVersion, model } = lot.request;
--- /dev/null
+++ b/packages/edge/test/lots/lot_desk_test.ts
@@ -0,0 +1,104 @@
+import { Logger } from "@briarhill/common/logging/logger";
+import { ManualClock } from "@briarhill/common/time/manual_clock";
+import { LOT_TOPIC } from "@briarhill/platform/names/topics";
+import { encodeLot, encodeResults } from "@briarhill/rollout/ledger/lot_record";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { setImmediate as settle } from "node:timers/promises";
+import { LotAppender } from "../../src/lots/lot_appender.ts";
+import { FORWARDED_FRESH_MS, LotDesk } from "../../src/lots/lot_desk.ts";
+import { LotPartitions } from "../../src/lots/lot_partitions.ts";
+import { ScriptedLog } from "./scripted_log.ts";
+
+const PLACE = { topic: LOT_TOPIC, partition: 0 };
+
+function createLot() {
+  const sample = {
+    id: "s-1",
+    path: "/a/1",
+    headers: [],
+    body: "",
+    group: "g",
+    expectedTokens: 10,
+  };
+  return {
+    id: "lot-1",
+    host: "a.example",
+    path: "/a/",
+    model: "m0",
+    minVersion: 1,
+    step: 0,
+    batchSize: 1,
+    acceptedAtMs: 0,
+    samples: [sample],
+  };
+}
+
+/** A desk that knows a lot, and follows its partition. */
+async function createDesk() {
+  const clock = new ManualClock(10_000);
+  const logger = Logger.create({ host: "test" });
+  const log = new ScriptedLog(clock);
+  const partitions = new LotPartitions(1, { log, clock, logger });
+  const appender = new LotAppender(log, clock, logger);
+  const desk = new LotDesk({
+    clock,
+    partitions,
+    appender,
+    maxRecordBytes: 1_000,
+  });
+  const lot = createLot() as unknown as Parameters<typeof encodeLot>[0];
+  await log.append(
+    PLACE,
+    encodeLot(lot, { nonce: "n", maxRecordBytes: 1_000 }),
+  );
+  assert.equal((await desk.findLot("lot-1")).kind, "found");
+  await settle();
+  return { clock, log, partitions, desk };
+}
+
+async function appendResult(log: ScriptedLog): Promise<void> {
+  const result = {
+    sample: "s-1",
+    state: "completed",
+    text: "t",
+    versions: [1],
+    score: "x",
+  } as const;
+  await log.append(PLACE, [
+    encodeResults([result], { lot: "lot-1", nonce: "r" }),
+  ]);
+}
+
+describe("LotDesk.findLot", () => {
+  it("answers for another host only with what the log has said lately", async () => {
+    const { clock, log, desk } = await createDesk();
+    log.isAway = true;
+    clock.advance(FORWARDED_FRESH_MS + 1);
+    const forwarded = await desk.findLot("lot-1", FORWARDED_FRESH_MS);
+    assert.equal(forwarded.kind, "uncertain");
+    // This host's own clients see what it knows.
+    assert.equal((await desk.findLot("lot-1")).kind, "found");
+  });
+
+  it("reads the log first after the host was suspended", async () => {
+    const { clock, log, desk } = await createDesk();
+    await appendResult(log);
+    clock.advanceWall(3_500);
+    const answer = await desk.findLot("lot-1", FORWARDED_FRESH_MS);
+    assert.ok(answer.kind === "found");
+    assert.equal(answer.lot.results.length, 1);
+  });
+});
+
+describe("LotPartitions.prune", () => {
+  it("lets go of what nobody asks about, and of nothing else", async () => {
+    const { clock, partitions } = await createDesk();
+    clock.advance(10_000);
+    partitions.prune();
+    assert.ok(partitions.getFollowed(0) !== undefined);
+    clock.advance(6_000);
+    partitions.prune();
+    assert.equal(partitions.getFollowed(0), undefined);
+  });
+});
