Test how a host keeps the list of the holders of lots

Cause: the list decides whom a host asks, and only end-to-end tests ran it. Ruled out: more cases over sockets, which cost seconds each.

--- a/packages/edge/test/lots/scripted_log.ts
+++ b/packages/edge/test/log/scripted_log.ts
@@ -15,6 +15,8 @@
   readonly #clock: Clock;
   readonly #records: LogRecord[] = [];
   isAway = false;
+  /** Who holds which partition of any group. */
+  holders: readonly PartitionHolder[] = [];
 
   constructor(clock: Clock) {
     super();
@@ -59,7 +61,8 @@
   }
 
   override listHolders(): Promise<readonly PartitionHolder[]> {
-    return Promise.resolve([]);
+    this.#throwIfAway();
+    return Promise.resolve(this.holders);
   }
 
   #createBatch(records: readonly LogRecord[]): LogBatch {
--- a/packages/edge/test/lots/lot_desk_test.ts
+++ b/packages/edge/test/lots/lot_desk_test.ts
@@ -8,7 +8,7 @@
 import { LotAppender } from "../../src/lots/lot_appender.ts";
 import { FORWARDED_FRESH_MS, LotDesk } from "../../src/lots/lot_desk.ts";
 import { LotPartitions } from "../../src/lots/lot_partitions.ts";
-import { ScriptedLog } from "./scripted_log.ts";
+import { ScriptedLog } from "../log/scripted_log.ts";
 
 const PLACE = { topic: LOT_TOPIC, partition: 0 };
 
