Never join the progress of two hosts that generate a sample at once

Two hosts ran one item after its shard had passed on (edge-bog-c-4 from 31.2 s, cut at 35.1 s; edge-bog-a-2 from 33.0 s). Both kept progress, and the ledger took a piece of one as the continuation of the other's, as only the count of events was compared; a third host resumed from the mixture. The fault is as old as kept progress. Ruled out: a resume with a wrong Last-Event-Id (it is the task's own), results of two owners (the first in the log counts whole). Change: progress names its writer, one a lot and host; texts of two writers are apart, the longest one is resumed, and its resumer keeps it whole under its own name.

--- a/packages/edge/src/lots/progress_keeper.ts
+++ b/packages/edge/src/lots/progress_keeper.ts
@@ -10,16 +10,19 @@
 import { LOT_TOPIC } from "@briarhill/platform/names/topics";
 import type { LotWork } from "@briarhill/rollout/dispatch/lot_work";
 import { encodeProgress } from "@briarhill/rollout/ledger/lot_record";
+import { randomBytes } from "node:crypto";
 import type { LotAppender } from "./lot_appender.ts";
 
 /** How often progress is kept, in milliseconds; what is newer is made again. */
 const KEEP_EVERY_MS = 700;
+const WRITER_BYTES = 4;
 
 /** Keeps the progress of one lot's samples. */
 export class ProgressKeeper {
   readonly #lot: LotId;
   readonly #partition: number;
   readonly #appender: LotAppender;
+  readonly #writer = randomBytes(WRITER_BYTES).toString("hex");
   #nextAtMs = 0;
 
   constructor(lot: LotId, partition: number, appender: LotAppender) {
@@ -39,14 +42,17 @@
       return;
     }
     this.#nextAtMs = nowMs + KEEP_EVERY_MS;
-    const progress = work.takeProgress();
-    if (progress.length > 0) {
+    const samples = work.takeProgress();
+    if (samples.length > 0) {
       // One try: a piece that is lost makes the later ones of its sample useless, no more.
       void this.#appender.append(
         { topic: LOT_TOPIC, partition: this.#partition },
         (nonce) =>
-          progress.map((one, index) =>
-            encodeProgress([one], { lot: this.#lot, nonce: `${nonce}${index}` })
+          samples.map((one, index) =>
+            encodeProgress(
+              { writer: this.#writer, samples: [one] },
+              { lot: this.#lot, nonce: `${nonce}${index}` },
+            )
           ),
         nowMs,
       );
--- a/packages/rollout/src/dispatch/sample_task.ts
+++ b/packages/rollout/src/dispatch/sample_task.ts
@@ -124,7 +124,8 @@
     this.#texts = [...progress.texts];
     progress.versions.forEach((version) => this.#versions.add(version));
     this.#lastEventId = progress.lastEventId;
-    this.#keptCount = progress.texts.length;
+    // The log's events are another writer's, which may go on with others.
+    this.#keptCount = 0;
   }
 
   /**
--- a/packages/rollout/src/ledger/ledger_lot.ts
+++ b/packages/rollout/src/ledger/ledger_lot.ts
@@ -4,6 +4,7 @@
  */
 import type { LotId, SampleId } from "@briarhill/common/ids/ids";
 import type {
+  LotProgress,
   LotRequest,
   SampleProgress,
   SampleResult,
@@ -16,7 +17,8 @@
   readonly #results: SampleResult[] = [];
   readonly #settled = new Set<SampleId>();
   readonly #samples: ReadonlySet<SampleId>;
-  readonly #progress = new Map<SampleId, SampleProgress>();
+  /** The progress of each sample by its writer. */
+  readonly #progress = new Map<SampleId, Map<string, SampleProgress>>();
   #hasEnded = false;
 
   constructor(request: LotRequest) {
@@ -67,30 +69,35 @@
 
   /**
    * Adds what was generated of samples; what does not follow on the events
-   * known so far is ignored.
+   * known so far of its writer is ignored. Two hosts may generate a sample at
+   * once, and their texts differ.
    *
    * @param progress - What the samples have gained.
    */
-  addProgress(progress: readonly SampleProgress[]): void {
-    for (const next of progress) {
-      const known = this.#progress.get(next.sample);
+  addProgress({ writer, samples }: LotProgress): void {
+    for (const next of samples) {
+      const writers = this.#progress.get(next.sample) ?? new Map();
+      const known: SampleProgress | undefined = writers.get(writer);
       const count = known?.texts.length ?? 0;
       const isUseful = this.#samples.has(next.sample) &&
         !this.#settled.has(next.sample) && !this.#hasEnded;
       if (isUseful && next.fromEvent === count) {
         const texts = [...known?.texts ?? [], ...next.texts];
-        this.#progress.set(next.sample, { ...next, fromEvent: 0, texts });
+        writers.set(writer, { ...next, fromEvent: 0, texts });
+        this.#progress.set(next.sample, writers);
       }
     }
   }
 
   /**
-   * Returns what was generated of a sample that has no result, if anything.
+   * Returns the longest text that one writer has generated of a sample that
+   * has no result, if any.
    *
    * @param sample - The sample.
    */
   getProgress(sample: SampleId): SampleProgress | undefined {
-    return this.#progress.get(sample);
+    const texts = [...this.#progress.get(sample)?.values() ?? []];
+    return texts.toSorted((a, b) => b.texts.length - a.texts.length)[0];
   }
 
   /** Ends the lot; results that are settled later are still listed. */
--- a/packages/rollout/src/ledger/lot_ledger.ts
+++ b/packages/rollout/src/ledger/lot_ledger.ts
@@ -7,11 +7,7 @@
 import { Buffer } from "node:buffer";
 import { LedgerLot } from "./ledger_lot.ts";
 import { type LotRecordKey, parseLotKey } from "./lot_record.ts";
-import type {
-  LotRequest,
-  SampleProgress,
-  SampleResult,
-} from "./lot_request.ts";
+import type { LotProgress, LotRequest, SampleResult } from "./lot_request.ts";
 
 /**
  * The lots of one partition. Every host that has applied the same records
@@ -91,7 +87,7 @@
   if (kind === "end") {
     lot.close();
   } else if (kind === "progress") {
-    lot.addProgress(JSON.parse(value.toString()) as SampleProgress[]);
+    lot.addProgress(JSON.parse(value.toString()) as LotProgress);
   } else {
     lot.settleResults(JSON.parse(value.toString()) as SampleResult[]);
   }
--- a/packages/rollout/src/ledger/lot_record.ts
+++ b/packages/rollout/src/ledger/lot_record.ts
@@ -8,11 +8,7 @@
 import type { NewLogRecord } from "@briarhill/common/log/shared_log";
 import { InputError } from "@briarhill/common/errors/errors";
 import { Buffer } from "node:buffer";
-import type {
-  LotRequest,
-  SampleProgress,
-  SampleResult,
-} from "./lot_request.ts";
+import type { LotProgress, LotRequest, SampleResult } from "./lot_request.ts";
 
 const SEPARATOR = "|";
 /** Leaves room for the rest of the key and the length of the frame. */
@@ -128,13 +124,14 @@
  *
  * @example
  * ```ts
- * const record = encodeProgress([], { lot: "a", nonce: "n" });
+ * const progress = { writer: "w", samples: [] };
+ * const record = encodeProgress(progress, { lot: "a", nonce: "n" });
  * ```
  * @param progress - What the samples have gained since their last record.
  * @param options - The lot, and what tells this append from others.
  */
 export function encodeProgress(
-  progress: readonly SampleProgress[],
+  progress: LotProgress,
   options: { readonly lot: LotId; readonly nonce: string },
 ): NewLogRecord {
   const { lot, nonce } = options;
--- a/packages/rollout/src/ledger/lot_request.ts
+++ b/packages/rollout/src/ledger/lot_request.ts
@@ -57,6 +57,13 @@
   readonly versions: readonly number[];
 }
 
+/** What one run of a lot's work has gained; the events of two writers never make up one text. */
+export interface LotProgress {
+  /** Tells who generates: a host that takes a lot over is another writer. */
+  readonly writer: string;
+  readonly samples: readonly SampleProgress[];
+}
+
 /** The final result of a sample. */
 export interface SampleResult {
   readonly sample: SampleId;
--- a/packages/rollout/test/dispatch/dispatch_test.ts
+++ b/packages/rollout/test/dispatch/dispatch_test.ts
@@ -172,6 +172,8 @@
     const event = { id: 25, data: "25", version: 3 };
     assert.equal(other.addEvent(event, 1), "taken");
     assert.deepEqual(other.versions, [2, 3]);
+    // It keeps the whole text: the first host may go on with other events.
+    assert.equal(other.takeProgress()?.fromEvent, 0);
   });
 
   it("keeps nothing more of a text that was dropped", () => {
--- a/packages/rollout/test/ledger/lot_ledger_test.ts
+++ b/packages/rollout/test/ledger/lot_ledger_test.ts
@@ -144,10 +144,22 @@
   }
 
   function encodeAll(...pieces: ReturnType<typeof createProgress>[]) {
+    return encodeWritten(pieces.map((piece) => ({ writer: "w", piece })));
+  }
+
+  function encodeWritten(
+    pieces: readonly {
+      readonly writer: string;
+      readonly piece: ReturnType<typeof createProgress>;
+    }[],
+  ) {
     return applyAll(createLog([
       ...encode(createLot(), "n"),
-      ...pieces.map((piece, index) =>
-        encodeProgress([piece], { lot: "lot", nonce: `p${index}` })
+      ...pieces.map(({ writer, piece }, index) =>
+        encodeProgress(
+          { writer, samples: [piece] },
+          { lot: "lot", nonce: `p${index}` },
+        )
       ),
     ])).getLot("lot");
   }
@@ -164,6 +176,28 @@
     assert.equal(progress?.lastEventId, 2);
   });
 
+  it("never joins the texts of two hosts that generate a sample at once", () => {
+    const pieces = [
+      { writer: "a", piece: createProgress(0, ["a0", "a1"]) },
+      { writer: "b", piece: createProgress(0, ["b0", "b1", "b2"]) },
+      { writer: "b", piece: createProgress(3, ["b3"]) },
+      { writer: "a", piece: createProgress(2, ["a2"]) },
+    ];
+    const indexes = fc.shuffledSubarray([...pieces.keys()]);
+    fc.assert(
+      fc.property(indexes, (order) => {
+        const lot = encodeWritten(order.flatMap((one) => pieces[one] ?? []));
+        const { texts = [] } = lot?.getProgress("a") ?? {};
+        const writers = new Set(texts.map((text) => text[0]));
+        assert.ok(writers.size <= 1, texts.join());
+        texts.forEach((text, event) => assert.equal(text[1], `${event}`));
+      }),
+      { seed: 1 },
+    );
+    const texts = encodeWritten(pieces)?.getProgress("a")?.texts;
+    assert.deepEqual(texts, ["b0", "b1", "b2", "b3"]);
+  });
+
   it("forgets it once the sample has a result", () => {
     const lot = encodeAll(createProgress(0, ["x"]));
     lot?.settleResults([createResult("a", "whole")]);
