Write the headers that are passed on in one place, and derive the list of hosts

Cause: a read of the whole change found encodePeerHeaders and encodeReturnedHeaders to be one function under two names, a second list of the headers of one connection, a set of hosts kept beside the holders it follows from, and header names and a path spelled out in stand-ins. Ruled out: behaviour: the dropped headers of each way are those of before. Change: encodePassedHeaders for answers and for calls between hosts, one list of headers; PeerList derives its hosts; the stand-ins take the adapter's names.

--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "@briarhill/common/time/clock";
 import {
   encodeForwardedHeaders,
-  encodeReturnedHeaders,
+  encodePassedHeaders,
 } from "@briarhill/platform/ingress/request_head";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { HostMetrics } from "../observe/host_metrics.ts";
@@ -82,7 +82,7 @@
       const { status, rawHeaders, body } = outcome.whole;
       writeWhole(response, {
         status,
-        headers: encodeReturnedHeaders(rawHeaders),
+        headers: encodePassedHeaders(rawHeaders),
         body,
       });
     } else {
--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -6,7 +6,7 @@
 import type { HttpHead } from "@briarhill/common/http/http_exchange";
 import { PortError } from "@briarhill/common/errors/errors";
 import type { Logger } from "@briarhill/common/logging/logger";
-import { encodeReturnedHeaders } from "@briarhill/platform/ingress/request_head";
+import { encodePassedHeaders } from "@briarhill/platform/ingress/request_head";
 import type { ServerResponse } from "node:http";
 import type { EndpointRequest, EndpointSender } from "./endpoint_sender.ts";
 
@@ -65,7 +65,7 @@
 ): Promise<StreamOutcome> {
   response.writeHead(
     head.status,
-    encodeReturnedHeaders(head.rawHeaders) as unknown as Record<string, string>,
+    encodePassedHeaders(head.rawHeaders) as unknown as Record<string, string>,
   );
   response.flushHeaders();
   return new Promise((resolve) => {
--- a/packages/edge/src/lots/lot_readers.ts
+++ b/packages/edge/src/lots/lot_readers.ts
@@ -10,10 +10,7 @@
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import { HttpSender } from "@briarhill/common/http/http_sender";
 import type { Logger } from "@briarhill/common/logging/logger";
-import {
-  encodePeerHeaders,
-  encodeReturnedHeaders,
-} from "@briarhill/platform/ingress/request_head";
+import { encodePassedHeaders } from "@briarhill/platform/ingress/request_head";
 import type { IncomingHttpHeaders } from "node:http";
 import { writeWhole } from "../calls/caller_reply.ts";
 import type { CallerExchange } from "../calls/ingress.ts";
@@ -94,7 +91,7 @@
       method: request.method ?? "GET",
       path: request.url ?? "/",
       headers: [
-        ...encodePeerHeaders(request.rawHeaders),
+        ...encodePassedHeaders(request.rawHeaders),
         FORWARDED_HEADER,
         "1",
       ],
@@ -103,7 +100,7 @@
     if (status >= FIRST_FAILURE_STATUS && status !== STATUS_NOT_FOUND) {
       return false;
     }
-    const headers = encodeReturnedHeaders(rawHeaders);
+    const headers = encodePassedHeaders(rawHeaders);
     writeWhole(response, { status, headers, body });
     return true;
   }
--- a/packages/edge/src/peers/peer_list.ts
+++ b/packages/edge/src/peers/peer_list.ts
@@ -31,7 +31,6 @@
 /** The other hosts. */
 export class PeerList {
   readonly #options: PeerListOptions;
-  #hosts: ReadonlySet<string>;
   #holders: ReadonlyMap<number, string> = new Map();
   readonly #suspectUntilMs = new Map<string, number>();
   #refresh = new AbortController();
@@ -40,13 +39,13 @@
 
   constructor(options: PeerListOptions) {
     this.#options = options;
-    this.#hosts = new Set(options.settings.seeds);
   }
 
   /** Returns the other hosts' addresses, from another one at each call. */
   listPeers(): readonly HttpAddress[] {
-    const { ip, peers } = this.#options.settings;
-    const others = [...this.#hosts].filter((host) => host !== ip);
+    const { ip, peers, seeds } = this.#options.settings;
+    const hosts = new Set([...this.#holders.values(), ...seeds]);
+    const others = [...hosts].filter((host) => host !== ip);
     const first = this.#turn++ % Math.max(1, others.length);
     return [...others.slice(first), ...others.slice(0, first)]
       .map((hostname) => ({ hostname, port: peers.port }));
@@ -91,7 +90,7 @@
   }
 
   async #run(): Promise<void> {
-    const { clock, log, logger, settings, random } = this.#options;
+    const { clock, log, logger, random } = this.#options;
     const { signal } = this.#stopping;
     let pauseMs = FIRST_REFRESH_MS * random.getUnit();
     while (!signal.aborted) {
@@ -103,7 +102,6 @@
         this.#holders = new Map(
           holders.map(({ partition, member }) => [partition.partition, member]),
         );
-        this.#hosts = new Set([...this.#holders.values(), ...settings.seeds]);
       } catch (error) {
         if (!(error instanceof BriarhillError)) {
           throw error;
--- a/packages/fakes/src/platform/host_client.ts
+++ b/packages/fakes/src/platform/host_client.ts
@@ -4,6 +4,7 @@
  */
 import { DeadlineError } from "@briarhill/common/errors/errors";
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
+import { LOTS_PATH } from "@briarhill/platform/names/paths";
 import {
   callHost,
   type HostAnswer,
@@ -90,7 +91,7 @@
     const answer = await this.call(
       host,
       "GET",
-      `/briarhill/lots/${lot}?after=0`,
+      `${LOTS_PATH}${lot}?after=0`,
       RESULTS_READ,
     );
     return parseResults(answer);
--- a/packages/fakes/src/platform/trainer_calls.ts
+++ b/packages/fakes/src/platform/trainer_calls.ts
@@ -2,7 +2,12 @@
  * What a trainer sends to hosts and reads from them.
  * @module
  */
-import { ATTEMPT_ID, DEADLINE_MS } from "@briarhill/platform/names/headers";
+import {
+  ATTEMPT_ID,
+  DEADLINE_MS,
+  LENGTH_HINT,
+  WAIT_MS,
+} from "@briarhill/platform/names/headers";
 import { Buffer } from "node:buffer";
 import type { HostAnswer, HostCallOptions } from "./host_call.ts";
 import { SERVICE_HOST } from "./platform_configuration.ts";
@@ -14,7 +19,7 @@
 
 /** How results are read. */
 export const RESULTS_READ: HostCallOptions = {
-  headers: { "X-Briarhill-Wait-Ms": "100" },
+  headers: { [WAIT_MS]: "100" },
   timeoutMs: READ_TIMEOUT_MS,
 };
 
@@ -41,7 +46,7 @@
   const items = Array.from({ length: samples }, (_, number) => ({
     id: `${lot}-${number}`,
     path: `/rollout/${number}`,
-    headers: { "X-Briarhill-Length-Hint": "100" },
+    headers: { [LENGTH_HINT]: "100" },
     body: Buffer.from(`prompt ${number}`).toString("base64"),
     tokens: 100,
     group: `g${number % 2}`,
--- a/packages/platform/src/ingress/request_head.ts
+++ b/packages/platform/src/ingress/request_head.ts
@@ -11,16 +11,23 @@
   WAIT_MS,
 } from "../names/headers.ts";
 
-/** Headers that concern one connection only, or that are set anew. */
-const NOT_FORWARDED: ReadonlySet<string> = new Set([
+/** Headers that concern one connection only. */
+const HOP_BY_HOP: readonly string[] = [
   "connection",
   "keep-alive",
   "proxy-connection",
   "transfer-encoding",
   "content-length",
-  "te",
   "trailer",
   "upgrade",
+];
+
+const NOT_PASSED_ON: ReadonlySet<string> = new Set(HOP_BY_HOP);
+
+/** On the way to an endpoint some headers are set anew, and hosts answer expectations themselves. */
+const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  ...HOP_BY_HOP,
+  "te",
   "expect",
   DEADLINE_MS.toLowerCase(),
   EXPECTED_INSTANCE.toLowerCase(),
@@ -90,44 +97,19 @@
 }
 
 /**
- * Returns the headers of a request on its way to another host.
- *
- * @example
- * ```ts
- * const headers = encodePeerHeaders(["Host", "a.example"]);
- * ```
- * @param rawHeaders - The caller's headers, names and values in turn.
- */
-export function encodePeerHeaders(
-  rawHeaders: readonly string[],
-): readonly string[] {
-  return selectHeaders(rawHeaders, NOT_RETURNED);
-}
-
-/** Headers of a message that concern one connection only. */
-const NOT_RETURNED: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "transfer-encoding",
-  "content-length",
-  "trailer",
-  "upgrade",
-]);
-
-/**
- * Returns the headers of an endpoint's answer on their way to the caller.
+ * Returns the headers of a message that is passed on: an endpoint's answer to
+ * its caller, or a call and its answer between two hosts.
  *
  * @example
  * ```ts
- * const headers = encodeReturnedHeaders(["Content-Type", "text/plain"]);
+ * const headers = encodePassedHeaders(["Content-Type", "text/plain"]);
  * ```
- * @param rawHeaders - The endpoint's headers, names and values in turn.
+ * @param rawHeaders - The message's headers, names and values in turn.
  */
-export function encodeReturnedHeaders(
+export function encodePassedHeaders(
   rawHeaders: readonly string[],
 ): readonly string[] {
-  return selectHeaders(rawHeaders, NOT_RETURNED);
+  return selectHeaders(rawHeaders, NOT_PASSED_ON);
 }
 
 function selectHeaders(
