Drop the announcement of each read that nobody waits for

Cause: LogFollower.waitRead has had no caller since its first one was replaced, while each read of each followed partition still made and resolved a promise. Found by listing members that no source file names twice. Ruled out: PROMPT_PREFIX, which is unused too: the style check takes the platform's names from that file, so that dropping it would narrow the check. Change: waitRead and its notifier are gone.

--- a/packages/edge/src/log/log_follower.ts
+++ b/packages/edge/src/log/log_follower.ts
@@ -9,7 +9,6 @@
   LogRecord,
   SharedLog,
 } from "@briarhill/common/log/shared_log";
-import { ChangeNotifier } from "@briarhill/common/time/change_notifier";
 import type { Clock } from "@briarhill/common/time/clock";
 
 /** The pause after a failed read, in milliseconds; a store that is away isn't asked more often by all hosts together than it allows. */
@@ -37,7 +36,6 @@
 export class LogFollower {
   readonly #options: LogFollowerOptions;
   readonly #stopping = new AbortController();
-  readonly #reads = new ChangeNotifier();
   #position: number | undefined;
   #endOffset = 0;
   #currentAtMs = -Infinity;
@@ -92,11 +90,6 @@
     this.#stopping.abort();
   }
 
-  /** Resolves after the next read, whether it brought records or failed. */
-  waitRead(): Promise<void> {
-    return this.#reads.wait();
-  }
-
   /**
    * Reads to the end of the partition now; throws a `PortError` where the log
    * can't be read.
@@ -122,7 +115,6 @@
         this.#setFailing(true, error);
         delayMs = RETRY_PAUSE_MS;
       }
-      this.#reads.announce();
       if (delayMs > 0) {
         await clock.sleep(delayMs, signal);
       }
