Obey an endpoint's own word that it leaves, and bound every answer

Cause: two faults of the code as it stood. 1. `Server-Leaving: 1` in an endpoint's answers was not decoded, so that a host went on sending to an endpoint that had told it so, until the list of endpoints said the same. 2. An answer without end was held whole until its time was up: 821 and 958 MB in calls of 2 s, with hosts of 250 to 390 MB. A refused answer without end was read away for good. A stream of samples counted as alive by bytes, not by events, so that one byte now and then kept it open.

Ruled out: telling the other hosts through the log. The rule binds each host by the answers that it has passed on itself, in touch with the store or not, and the list tells the others.

Change: the sign is decoded on every answer, refusals and calls of control too, and marks that start of the endpoint as leaving, for good, in the table that every pick, retry, hedge, move and order reads. Whole answers have a bound (a 64th of the host's memory; 1 MB for control, 4 MB for the store and peers), drained ones 16 KB and 100 ms, events 64 K characters, texts 1 M characters; beyond it the connection is closed, with the fault "oversized", and new work is held back from the endpoint. Silence of a sample's stream is counted between whole events. A streamed answer ends with its caller's time. A success without a signature is malformed. Stand-ins say that they leave, and the soak checks it by connection, as all hosts share an address there.

--- a/packages/bench/src/soak/soak_checks.ts
+++ b/packages/bench/src/soak/soak_checks.ts
@@ -6,6 +6,7 @@
   ReceivedOrder,
   ReceivedRun,
 } from "@briarhill/fakes/platform/endpoint_stand_in";
+import type { LateRun } from "@briarhill/fakes/platform/leaving_watch";
 import type { LotResult } from "@briarhill/fakes/platform/trainer_calls";
 
 /** A promise that was broken, with the ids that show it. */
@@ -88,9 +89,16 @@
     endpoints: readonly {
       readonly runs: readonly ReceivedRun[];
       readonly orders: readonly ReceivedOrder[];
+      readonly leaving: { readonly lateRuns: readonly LateRun[] };
     }[],
   ): void {
-    for (const { runs, orders } of endpoints) {
+    for (const { runs, orders, leaving } of endpoints) {
+      for (const { attemptId, connection, afterMs } of leaving.lateRuns) {
+        this.#add(
+          "an endpoint that says it is leaving gets no new work",
+          `${attemptId} on ${connection} after ${afterMs} ms`,
+        );
+      }
       for (const { attemptId } of runs) {
         if (this.#refused.has(attemptId)) {
           this.#add("what was refused has not run", attemptId);
--- a/packages/bench/src/soak/soak_faults.ts
+++ b/packages/bench/src/soak/soak_faults.ts
@@ -13,6 +13,8 @@
 const SLOW_MS = 600;
 /** How late a slow link passes each piece on, in milliseconds. */
 const LINK_DELAY_MS = 40;
+/** How long a leaving endpoint goes on at least, in milliseconds; above the time in which hosts may still send to it. */
+const LEAVING_MS = 3_000;
 
 /** Brings faults about, and undoes them after their time. */
 export class SoakFaults {
@@ -52,6 +54,8 @@
       case "engine-breaks":
       case "service-slow":
         return await this.#runEndpointFault(kind, forMs, drawn);
+      case "endpoint-leaves":
+        return await this.#runLeaving(forMs, drawn);
       case "links-reset":
         return this.#platform.links.all.forEach((link) =>
           link.abortConnections()
@@ -89,6 +93,20 @@
     endpoint.delayMs = 0;
   }
 
+  /** Only its answers say that it is leaving. */
+  async #runLeaving(forMs: number, target: number): Promise<void> {
+    const { endpoints } = this.#platform;
+    const endpoint = endpoints[target % endpoints.length];
+    endpoint?.leaving.start();
+    await sleep(LEAVING_MS + forMs);
+    endpoint?.startAnew();
+  }
+
+  /** A host that was frozen or restarted need not know who is leaving. */
+  #clearTold(): void {
+    this.#platform.endpoints.forEach(({ leaving }) => leaving.clearTold());
+  }
+
   async #runLinkFault(
     kind: "link-slow" | "link-holds-requests" | "link-holds-answers",
     forMs: number,
@@ -149,6 +167,7 @@
     this.#struck.add(target);
     this.#hosts[target]?.sendSignal("SIGSTOP");
     await sleep(forMs);
+    this.#clearTold();
     this.#hosts[target]?.sendSignal("SIGCONT");
     this.#struck.delete(target);
   }
@@ -165,6 +184,7 @@
       host?.sendSignal(kind === "kill" ? "SIGKILL" : "SIGTERM");
       await host?.waitExit();
       await sleep(kind === "kill" ? forMs : 0);
+      this.#clearTold();
       await host?.start();
       this.#struck.delete(target);
     }));
--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -25,7 +25,8 @@
   | "links-silent"
   | "link-slow"
   | "link-holds-requests"
-  | "link-holds-answers";
+  | "link-holds-answers"
+  | "endpoint-leaves";
 
 const KINDS: readonly SoakFaultKind[] = [
   "kill",
@@ -47,6 +48,7 @@
   "link-slow",
   "link-holds-requests",
   "link-holds-answers",
+  "endpoint-leaves",
 ];
 
 /** One fault. */
--- a/packages/bench/src/soak/soak_run.ts
+++ b/packages/bench/src/soak/soak_run.ts
@@ -110,8 +110,7 @@
     this.#isRunning = false;
     await Promise.all(load);
     await this.#waitWhole();
-    const { engines, services } = this.#platform;
-    this.#checks.checkEndpoints([...engines, ...services]);
+    this.#checks.checkEndpoints(this.#platform.endpoints);
   }
 
   async #sendCalls(): Promise<void> {
--- a/packages/bench/test/soak/soak_checks_test.ts
+++ b/packages/bench/test/soak/soak_checks_test.ts
@@ -21,6 +21,8 @@
   return { holder, fencingToken, atMs, model: "m0", version: 2 };
 }
 
+const leaving = { lateRuns: [] };
+
 /** Each defect that is put in must be found as a breach of its promise. */
 function testDefect(
   promise: string,
@@ -46,7 +48,7 @@
     checks.checkWhole(new Map([["l", 2]]));
     const orders = [createOrder("h", 1, 0), createOrder("i", 2, 3_000)];
     const runs = [{ attemptId: "c", path: "/", fromEvent: 0 }];
-    checks.checkEndpoints([{ runs, orders }]);
+    checks.checkEndpoints([{ runs, orders, leaving }]);
     assert.deepEqual(checks.breaches, []);
   });
 
@@ -69,7 +71,7 @@
   testDefect("what was refused has not run", (checks) => {
     checks.checkCall({ id: "c", status: 503, body: "", signature: "" });
     const runs = [{ attemptId: "c", path: "/", fromEvent: 0 }];
-    checks.checkEndpoints([{ runs, orders: [] }]);
+    checks.checkEndpoints([{ runs, orders: [], leaving }]);
   });
   testDefect("an acknowledged lot is finished", (checks) => {
     checks.checkResults("l", [createResult("a")]);
@@ -77,14 +79,27 @@
   });
   testDefect("holders take turns slowly", (checks) => {
     const orders = [createOrder("h", 1, 0), createOrder("i", 2, 2_999)];
-    checks.checkEndpoints([{ runs: [], orders }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving }]);
   });
   testDefect("two holders have two numbers", (checks) => {
     const orders = [createOrder("h", 1, 0), createOrder("i", 1, 4_000)];
-    checks.checkEndpoints([{ runs: [], orders }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving }]);
   });
   testDefect("an order's number never falls", (checks) => {
     const orders = [createOrder("h", 2, 0), createOrder("i", 1, 4_000)];
-    checks.checkEndpoints([{ runs: [], orders }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving }]);
   });
+  testDefect(
+    "an endpoint that says it is leaving gets no new work",
+    (checks) => {
+      const late = {
+        attemptId: "a",
+        connection: "127.0.0.1:9000",
+        afterMs: 2_001,
+      };
+      checks.checkEndpoints([
+        { runs: [], orders: [], leaving: { lateRuns: [late] } },
+      ]);
+    },
+  );
 });
--- a/packages/common/src/errors/errors.ts
+++ b/packages/common/src/errors/errors.ts
@@ -66,7 +66,8 @@
   | "malformed"
   | "rejected"
   | "cancelled"
-  | "incomplete";
+  | "incomplete"
+  | "oversized";
 
 /** A call to the outside that failed; `outcome` says whether it may have taken effect. */
 export const PortError = BriarhillError.subclass("PortError", {
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -2,7 +2,6 @@
  * Sends HTTP requests over kept connections, by Node's `http`.
  * @module
  */
-import { Buffer } from "node:buffer";
 import {
   Agent,
   type ClientRequest,
@@ -12,6 +11,7 @@
 import type { Socket } from "node:net";
 import type { PortError, PortFault } from "../errors/errors.ts";
 import { createPortError } from "../errors/port_fault.ts";
+import { readBody } from "./body_reader.ts";
 import type { HttpAnswer, HttpHead, HttpRequest } from "./http_exchange.ts";
 
 /** The bounds of a sender. */
@@ -24,6 +24,8 @@
   readonly maxConnections: number;
   /** How long an unused connection is kept, in milliseconds. */
   readonly idleTimeoutMs: number;
+  /** The largest body of an answer that is read as a whole, in bytes. */
+  readonly maxBodyBytes: number;
 }
 
 /** Sends HTTP requests over kept connections. */
@@ -99,6 +101,7 @@
     const head = await this.open(exchange);
     const body = await readBody(head.stream, {
       timeoutMs: bodyTimeoutMs,
+      maxBytes: this.#options.maxBodyBytes,
       port: this.#options.port,
       operation: exchange.path,
     });
@@ -167,56 +170,3 @@
 function hasBody({ method, body }: HttpRequest): boolean {
   return body !== undefined || method === "POST" || method === "PUT";
 }
-
-/** How a body is read. */
-export interface BodyReading {
-  readonly timeoutMs: number;
-  readonly port: string;
-  readonly operation: string;
-}
-
-/**
- * Reads the whole body of an answer; one that breaks off or takes too long is
- * a {@link PortError} with the outcome "unknown".
- *
- * @example
- * ```ts
- * declare const head: import("./http_exchange.ts").HttpHead;
- *
- * const body = await readBody(head.stream, {
- *   timeoutMs: 1000,
- *   port: "store",
- *   operation: "read",
- * });
- * ```
- * @param stream - The answer.
- * @param reading - The bound, and the names for errors.
- */
-export function readBody(
-  stream: IncomingMessage,
-  reading: BodyReading,
-): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let isLate = false;
-    const timer = setTimeout(() => {
-      isLate = true;
-      stream.destroy();
-    }, reading.timeoutMs);
-    stream.on("data", (chunk: Buffer) => chunks.push(chunk));
-    stream.on("close", () => {
-      clearTimeout(timer);
-      if (stream.complete && !isLate) {
-        resolve(Buffer.concat(chunks));
-        return;
-      }
-      const { port, operation } = reading;
-      reject(createPortError(`${port} ${operation}: the answer broke off`, {
-        port,
-        operation,
-        fault: isLate ? "silent" : "incomplete",
-        outcome: "unknown",
-      }));
-    });
-  });
-}
--- a/packages/edge/src/calls/endpoint_sender.ts
+++ b/packages/edge/src/calls/endpoint_sender.ts
@@ -2,28 +2,47 @@
  * Sends single requests to endpoints and tells what became of them.
  * @module
  */
-import { PortError } from "@briarhill/common/errors/errors";
+import { PortError, type PortFault } from "@briarhill/common/errors/errors";
 import { createPortError } from "@briarhill/common/errors/port_fault";
 import type {
   HttpAnswer,
   HttpHead,
 } from "@briarhill/common/http/http_exchange";
-import { HttpSender, readBody } from "@briarhill/common/http/http_sender";
+import { readBody } from "@briarhill/common/http/body_reader";
+import { HttpSender } from "@briarhill/common/http/http_sender";
 import type { Clock } from "@briarhill/common/time/clock";
 import {
   decodeEndpointAnswer,
   type EndpointAnswerHead,
 } from "@briarhill/platform/ingress/endpoint_answer";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
-import type { EndpointBoard } from "@briarhill/routing/endpoints/endpoint_board";
 import type { EndpointOutcome } from "@briarhill/routing/endpoints/endpoint_load";
 import type { Buffer } from "node:buffer";
+import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 
 /** Some ten round trips between failure domains; a new connection that takes longer is not coming. */
 const CONNECT_TIMEOUT_MS = 250;
 /** Below an endpoint's bound on connections, shared by all hosts. */
 const MAX_CONNECTIONS = 40;
 const IDLE_TIMEOUT_MS = 8_000;
+/** The largest answer to a call of control, in bytes; a report lists what one endpoint runs. */
+const MAX_CONTROL_BYTES = 1_048_576;
+const FIRST_REDIRECT_STATUS = 300;
+
+/** What a sender needs. */
+export interface EndpointSenderOptions {
+  readonly clock: Clock;
+  readonly directory: EndpointDirectory;
+  /** The largest answer that is held whole, in bytes. */
+  readonly maxAnswerBytes: number;
+}
+
+/** Faults that hold up whatever is sent next, too. */
+const HOLDING_FAULTS: ReadonlySet<PortFault> = new Set([
+  "silent",
+  "refused",
+  "oversized",
+]);
 
 /** One request to one endpoint. */
 export interface EndpointRequest {
@@ -47,23 +66,23 @@
 
 /** Sends single requests to endpoints, and keeps the board up to date. */
 export class EndpointSender {
-  readonly #clock: Clock;
-  readonly #board: EndpointBoard;
+  readonly #options: EndpointSenderOptions;
   readonly #sender = new HttpSender({
     port: "endpoint",
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxConnections: MAX_CONNECTIONS,
     idleTimeoutMs: IDLE_TIMEOUT_MS,
+    maxBodyBytes: MAX_CONTROL_BYTES,
   });
 
-  constructor(clock: Clock, board: EndpointBoard) {
-    this.#clock = clock;
-    this.#board = board;
+  constructor(options: EndpointSenderOptions) {
+    this.#options = options;
   }
 
   /**
    * Sends a request and returns the whole answer. An answer that belongs to
-   * another request, or breaks off, is a `PortError` with the outcome "unknown".
+   * another request, breaks off, is too large, or is a success that no endpoint
+   * has signed, is a `PortError` with the outcome "unknown".
    *
    * @param request - The request.
    */
@@ -73,8 +92,13 @@
     { readonly whole: HttpAnswer; readonly answer: EndpointAnswerHead }
   > {
     return await this.run(request, async ({ head, answer }) => {
+      if (answer.status < FIRST_REDIRECT_STATUS && answer.signature === "") {
+        head.stream.destroy();
+        throw createMalformedError(request, "a success without a signature");
+      }
       const body = await readBody(head.stream, {
         timeoutMs: request.timeoutMs,
+        maxBytes: this.#options.maxAnswerBytes,
         port: "endpoint",
         operation: request.path,
       });
@@ -92,14 +116,15 @@
     request: EndpointRequest,
     use: (checked: CheckedHead) => Promise<T>,
   ): Promise<T> {
-    const load = this.#board.getLoad(request.endpoint.id);
+    const { clock, directory } = this.#options;
+    const load = directory.board.getLoad(request.endpoint.id);
     load.addRequest();
     let outcome: EndpointOutcome | "cancelled" = "broken";
     try {
       const checked = await this.#open(request);
       const { requests, isRefused } = checked.answer;
       if (requests !== undefined) {
-        load.setReported(requests, this.#clock.getMonotonicMs());
+        load.setReported(requests, clock.getMonotonicMs());
       }
       const result = await use(checked);
       outcome = isRefused ? "refused" : "served";
@@ -108,7 +133,7 @@
       outcome = getOutcome(error, request.signal);
       throw error;
     } finally {
-      load.removeRequest(outcome, this.#clock.getMonotonicMs());
+      load.removeRequest(outcome, clock.getMonotonicMs());
     }
   }
 
@@ -130,12 +155,14 @@
     timeoutMs: number,
   ): Promise<HttpAnswer> {
     const { address } = endpoint;
-    return await this.#sender.send({
+    const answer = await this.#sender.send({
       address,
       ...call,
       headers: ["Host", `${address.hostname}:${address.port}`, ...call.headers],
       headTimeoutMs: timeoutMs,
     }, timeoutMs);
+    this.#applyHead(endpoint, decodeEndpointAnswer(answer));
+    return answer;
   }
 
   /** Closes all connections. */
@@ -157,20 +184,35 @@
       request.signal.removeEventListener("abort", end);
     });
     const answer = decodeEndpointAnswer(head);
+    this.#applyHead(endpoint, answer);
     if (answer.attemptId !== attemptId && !answer.isOtherEndpoint) {
       head.stream.destroy();
-      throw createPortError(
-        `endpoint "${endpoint.id}" answered "${answer.attemptId}", expected "${attemptId}"`,
-        {
-          port: "endpoint",
-          operation: request.path,
-          fault: "malformed",
-          outcome: "unknown",
-        },
+      throw createMalformedError(
+        request,
+        `an answer to "${answer.attemptId}", expected "${attemptId}"`,
       );
     }
     return { head, answer };
   }
+
+  /** Another endpoint that answers at the address says nothing of this one. */
+  #applyHead(endpoint: EndpointStructure, answer: EndpointAnswerHead): void {
+    if (answer.isLeaving && !answer.isOtherEndpoint) {
+      this.#options.directory.setLeaving(endpoint);
+    }
+  }
+}
+
+function createMalformedError(
+  { endpoint, path }: EndpointRequest,
+  found: string,
+): PortError {
+  return createPortError(`endpoint "${endpoint.id}" sent ${found}`, {
+    port: "endpoint",
+    operation: path,
+    fault: "malformed",
+    outcome: "unknown",
+  });
 }
 
 function getOutcome(
@@ -181,5 +223,5 @@
     return "cancelled";
   }
   const fault = error instanceof PortError ? error.fault : "reset";
-  return fault === "silent" || fault === "refused" ? "unreachable" : "broken";
+  return HOLDING_FAULTS.has(fault) ? "unreachable" : "broken";
 }
--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -167,11 +167,14 @@
     signal: AbortSignal,
   ): Promise<StreamOutcome> {
     const { request, response, route, head, arrivedAtMs } = exchange;
-    const nowMs = this.#options.clock.getMonotonicMs();
+    const { clock, sender, logger } = this.#options;
+    const nowMs = clock.getMonotonicMs();
     const leftMs = Math.max(1, arrivedAtMs + head.deadlineMs - nowMs);
     return streamAnswer(response, {
-      sender: this.#options.sender,
-      logger: this.#options.logger,
+      sender,
+      logger,
+      clock,
+      leftMs,
       request: {
         endpoint,
         attemptId: head.attemptId,
--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -3,8 +3,10 @@
  * repeated, so that another endpoint is tried only while none has run it.
  * @module
  */
+import { drainBody } from "@briarhill/common/http/body_reader";
 import type { HttpHead } from "@briarhill/common/http/http_exchange";
 import { PortError } from "@briarhill/common/errors/errors";
+import type { Clock } from "@briarhill/common/time/clock";
 import type { Logger } from "@briarhill/common/logging/logger";
 import { encodePassedHeaders } from "@briarhill/platform/ingress/request_head";
 import type { ServerResponse } from "node:http";
@@ -21,12 +23,19 @@
  * declare const sender: EndpointSender;
  * declare const request: EndpointRequest;
  * declare const logger: Logger;
+ * declare const clock: Clock;
  * declare const response: import("node:http").ServerResponse;
  *
- * const outcome = await streamAnswer(response, { sender, request, logger });
+ * const outcome = await streamAnswer(response, {
+ *   sender,
+ *   request,
+ *   logger,
+ *   clock,
+ *   leftMs: 2_000,
+ * });
  * ```
  * @param response - Where to write.
- * @param call - The sender, the request, and where a failed attempt is logged.
+ * @param call - The sender, the request and its time, and where a failed attempt is logged.
  */
 export async function streamAnswer(
   response: ServerResponse,
@@ -34,15 +43,25 @@
     readonly sender: EndpointSender;
     readonly request: EndpointRequest;
     readonly logger: Logger;
+    readonly clock: Clock;
+    /** How long the caller waits for the whole answer, in milliseconds. */
+    readonly leftMs: number;
   },
 ): Promise<StreamOutcome> {
   try {
     return await call.sender.run(call.request, async ({ head, answer }) => {
       if (answer.isRefused) {
-        head.stream.resume();
+        drainBody(head.stream);
         return "not-run";
       }
-      return await streamHead(response, head);
+      const timer = call.clock.setTimer(call.leftMs, () => {
+        call.logger.warn("stream-past-deadline", {
+          request: call.request.attemptId,
+          endpoint: call.request.endpoint.id,
+        });
+        head.stream.destroy();
+      });
+      return await streamHead(response, head).finally(() => timer.cancel());
     });
   } catch (error) {
     if (!(error instanceof PortError)) {
--- a/packages/edge/src/endpoints/endpoint_directory.ts
+++ b/packages/edge/src/endpoints/endpoint_directory.ts
@@ -62,6 +62,20 @@
     }
   }
 
+  /**
+   * Gives an endpoint no more work, as one of its own answers says that it is leaving.
+   *
+   * @param endpoint - The endpoint.
+   */
+  setLeaving(endpoint: EndpointStructure): void {
+    if (this.#table.setLeaving(endpoint)) {
+      this.#options.logger.info("endpoint-leaving", {
+        endpoint: endpoint.id,
+        sign: "answer",
+      });
+    }
+  }
+
   /**
    * Returns the endpoints of a service that may get work.
    *
--- a/packages/edge/src/lots/generation_reader.ts
+++ b/packages/edge/src/lots/generation_reader.ts
@@ -2,16 +2,19 @@
  * Reads the events of one run of a sample.
  * @module
  */
-import type { PortError } from "@briarhill/common/errors/errors";
+import { InputError, type PortError } from "@briarhill/common/errors/errors";
 import { createPortError } from "@briarhill/common/errors/port_fault";
 import type { Clock, Timer } from "@briarhill/common/time/clock";
-import { EventDecoder } from "@briarhill/platform/engine/event_decoder";
+import {
+  EventDecoder,
+  type StreamEvent,
+} from "@briarhill/platform/engine/event_decoder";
 import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
 import type { LotRequest } from "@briarhill/rollout/ledger/lot_request";
 import type { IncomingMessage } from "node:http";
 import type { GenerationReport } from "./generation_report.ts";
 
-/** The longest pause of a stream, in milliseconds; above a load of weights on a slow engine. */
+/** The longest pause between whole events, in milliseconds; above a load of weights on a slow engine. */
 export const SILENCE_MS = 2_500;
 
 /** What a reader needs. */
@@ -28,7 +31,7 @@
   readonly #options: GenerationReaderOptions;
   readonly #decoder = new EventDecoder();
   #silence: Timer | undefined;
-  #lastDataMs = 0;
+  #lastEventMs = 0;
   #early: GenerationReport | undefined;
 
   constructor(options: GenerationReaderOptions) {
@@ -43,10 +46,9 @@
   readEvents(headVersion: number): Promise<GenerationReport> {
     const { stream } = this.#options;
     let version = headVersion;
-    this.#lastDataMs = this.#options.clock.getMonotonicMs();
+    this.#lastEventMs = this.#options.clock.getMonotonicMs();
     this.#scheduleSilence();
     stream.on("data", (bytes: Buffer) => {
-      this.#lastDataMs = this.#options.clock.getMonotonicMs();
       version = this.#addBytes(bytes, version);
     });
     return new Promise((resolve, reject) => {
@@ -62,13 +64,14 @@
 
   /** Returns the version after the last event. */
   #addBytes(bytes: Buffer, headVersion: number): number {
-    const { task, lot } = this.#options;
+    const { task, lot, clock } = this.#options;
     let version = headVersion;
-    for (const event of this.#decoder.addBytes(bytes)) {
+    for (const event of this.#decodeEvents(bytes)) {
       version = event.version ?? version;
       if (this.#early !== undefined) {
         break;
       }
+      this.#lastEventMs = clock.getMonotonicMs();
       const verdict = task.addEvent({ ...event, version }, lot.minVersion);
       if (verdict !== "taken") {
         const end = verdict === "outdated" ? "outdated" : "broken";
@@ -78,10 +81,23 @@
     return version;
   }
 
+  #decodeEvents(bytes: Buffer): readonly StreamEvent[] {
+    try {
+      return this.#decoder.addBytes(bytes);
+    } catch (error) {
+      if (!(error instanceof InputError)) {
+        throw error;
+      }
+      // The end of the run is logged with this reason.
+      this.#close({ end: "broken", reason: "oversized" });
+      return [];
+    }
+  }
+
   /** Sets one timer for the whole pause and again for what is left of it, not one for each event. */
   #scheduleSilence(): void {
     const { clock } = this.#options;
-    const silentMs = clock.getMonotonicMs() - this.#lastDataMs;
+    const silentMs = clock.getMonotonicMs() - this.#lastEventMs;
     if (silentMs >= SILENCE_MS) {
       this.#close({ end: "broken", reason: "silent" });
       return;
--- a/packages/edge/src/lots/lot_readers.ts
+++ b/packages/edge/src/lots/lot_readers.ts
@@ -26,6 +26,8 @@
 const CONNECT_TIMEOUT_MS = 250;
 const MAX_CONNECTIONS = 16;
 const IDLE_TIMEOUT_MS = 15_000;
+/** The largest answer about a lot, in bytes: a page of 1 MB, or the body of one sample. */
+const MAX_ANSWER_BYTES = 4_194_304;
 const FIRST_FAILURE_STATUS = 300;
 const STATUS_NOT_FOUND = 404;
 
@@ -44,6 +46,7 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxConnections: MAX_CONNECTIONS,
     idleTimeoutMs: IDLE_TIMEOUT_MS,
+    maxBodyBytes: MAX_ANSWER_BYTES,
   });
 
   constructor(options: LotReadersOptions) {
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -154,7 +154,7 @@
       this.#dropSample(task, "failed");
       return;
     }
-    if (reason === "gap") {
+    if (reason === "gap" || reason === "oversized") {
       task.clear();
     }
     task.phase = "waiting";
--- a/packages/edge/src/lots/sample_generation.ts
+++ b/packages/edge/src/lots/sample_generation.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { PortError } from "@briarhill/common/errors/errors";
+import { drainBody } from "@briarhill/common/http/body_reader";
 import type { Clock } from "@briarhill/common/time/clock";
 import { encodeGeneration } from "@briarhill/platform/engine/sample_call";
 import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
@@ -74,7 +75,7 @@
 ): Promise<GenerationReport> {
   const { status } = answer;
   if (status !== 200) {
-    head.stream.resume();
+    drainBody(head.stream);
     const reason = `status ${status}`;
     if (answer.isRefused) {
       return { end: "refused", reason };
--- a/packages/edge/src/node/serving.ts
+++ b/packages/edge/src/node/serving.ts
@@ -10,6 +10,9 @@
 import type { HostContext } from "./host_context.ts";
 import { PublishedState } from "./published_state.ts";
 
+/** One answer takes no more than this part of the host's memory, so that a few endless ones do no harm. */
+const ANSWER_MEMORY_DIVISOR = 64;
+
 /** The parts of a host that send requests to endpoints. */
 export interface Serving {
   readonly directory: EndpointDirectory;
@@ -48,7 +51,11 @@
     ...options,
     directory,
   });
-  const sender = new EndpointSender(clock, directory.board);
+  const sender = new EndpointSender({
+    clock,
+    directory,
+    maxAnswerBytes: settings.memoryBytes / ANSWER_MEMORY_DIVISOR,
+  });
   const forwarder = new CallForwarder({
     ...context,
     directory,
--- a/packages/edge/src/peers/peer_listener.ts
+++ b/packages/edge/src/peers/peer_listener.ts
@@ -6,7 +6,7 @@
 import { PortError } from "@briarhill/common/errors/errors";
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import { openServer } from "@briarhill/common/http/open_server";
-import { readBody } from "@briarhill/common/http/http_sender";
+import { readBody } from "@briarhill/common/http/body_reader";
 import type { Logger } from "@briarhill/common/logging/logger";
 import {
   createServer,
@@ -17,6 +17,8 @@
 import { RELAY_HEADER, type RelayedTransport } from "./relayed_transport.ts";
 
 const BODY_TIMEOUT_MS = 2_000;
+/** The largest call to the store, in bytes: the platform's bound on one append, rounded up. */
+const MAX_BODY_BYTES = 4_194_304;
 const STATUS_UNAVAILABLE = 503;
 
 /** Answers a call that another host passes on. */
@@ -66,6 +68,7 @@
     try {
       const body = await readBody(request, {
         timeoutMs: BODY_TIMEOUT_MS,
+        maxBytes: MAX_BODY_BYTES,
         port: "peer",
         operation: "relay",
       });
--- a/packages/edge/src/peers/relayed_transport.ts
+++ b/packages/edge/src/peers/relayed_transport.ts
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_CONNECTIONS = 64;
 const IDLE_TIMEOUT_MS = 30_000;
+/** The largest answer of the store, in bytes: a page of 1 MB and one more record, in base64. */
+const MAX_ANSWER_BYTES = 4_194_304;
 /** How many other hosts are asked for one call. */
 const MAX_RELAYS = 2;
 
@@ -48,6 +50,7 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxConnections: MAX_CONNECTIONS,
     idleTimeoutMs: IDLE_TIMEOUT_MS,
+    maxBodyBytes: MAX_ANSWER_BYTES,
   });
   #isAway = false;
   #retryDirectAtMs = 0;
--- a/packages/edge/src/settings/host_settings.ts
+++ b/packages/edge/src/settings/host_settings.ts
@@ -8,6 +8,7 @@
 
 const ADDRESS = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
 const MAX_PORT = 65_535;
+const BYTES_PER_MB = 1_048_576;
 
 /** The settings of one host. */
 export interface HostSettings {
@@ -16,6 +17,8 @@
   readonly ip: string;
   /** The processor time of this host, in cores. */
   readonly cores: number;
+  /** The memory that this process may use, in bytes. */
+  readonly memoryBytes: number;
   /** Where callers connect. */
   readonly callers: HttpAddress;
   /** Where the balancer asks whether this host is ready. */
@@ -62,6 +65,7 @@
     failureDomain: values.getText("host", "failure_domain"),
     ip: values.getText("host", "ip"),
     cores: values.getNumber("host", "cores"),
+    memoryBytes: BYTES_PER_MB * values.getNumber("host", "memory_mb"),
     callers: values.getAddress("listen", "callers"),
     health: values.getAddress("listen", "health"),
     peers: values.getAddress("listen", "peers"),
--- /dev/null
+++ b/packages/edge/test/calls/sender_fixture.ts
@@ -0,0 +1,62 @@
+import { Logger } from "@briarhill/common/logging/logger";
+import { SeededRandom } from "@briarhill/common/random/seeded_random";
+import { SystemClock } from "@briarhill/common/time/system_clock";
+import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
+import { Buffer } from "node:buffer";
+import {
+  type EndpointRequest,
+  EndpointSender,
+} from "../../src/calls/endpoint_sender.ts";
+import { EndpointDirectory } from "../../src/endpoints/endpoint_directory.ts";
+
+export const MAX_ANSWER_BYTES = 1_048_576;
+export const TIMEOUT_MS = 600;
+/** Timers and the close of a connection on a busy machine. */
+export const SLACK_MS = 1_500;
+/** The head of a sound answer, without its end. */
+export const HEAD = "HTTP/1.1 200 OK\r\nX-Briarhill-Attempt-Id: a\r\n" +
+  "X-Briarhill-Server-Signature: s\r\n";
+
+export function createSender() {
+  const clock = new SystemClock();
+  const directory = new EndpointDirectory({
+    clock,
+    logger: Logger.create({}),
+    random: new SeededRandom(1),
+    getDisturbedAtMs: () => -Infinity,
+  });
+  const sender = new EndpointSender({
+    clock,
+    directory,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
+  });
+  return { clock, directory, sender };
+}
+
+export function createEndpoint(port: number): EndpointStructure {
+  return {
+    id: "e",
+    service: "s",
+    address: { hostname: "127.0.0.1", port },
+    failureDomain: "a",
+    slots: 4,
+    isLeaving: false,
+    coldMs: 0,
+    startedAtMs: 100,
+    models: new Map(),
+    beat: 1,
+  };
+}
+
+export function createRequest(endpoint: EndpointStructure): EndpointRequest {
+  return {
+    endpoint,
+    attemptId: "a",
+    method: "POST",
+    path: "/",
+    headers: ["Host", "a.example"],
+    body: Buffer.from("{}"),
+    timeoutMs: TIMEOUT_MS,
+    signal: new AbortController().signal,
+  };
+}
--- /dev/null
+++ b/packages/edge/test/lots/sample_generation_test.ts
@@ -0,0 +1,113 @@
+import { setLogWriter } from "@briarhill/common/logging/logger";
+import { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { runGeneration } from "../../src/lots/sample_generation.ts";
+import {
+  type ConnectionScript,
+  createEndlessScript,
+  RawEndpoint,
+} from "../calls/raw_endpoint.ts";
+import {
+  createEndpoint,
+  createSender,
+  HEAD,
+  SLACK_MS,
+} from "../calls/sender_fixture.ts";
+
+setLogWriter(() => undefined);
+
+const PIECE = "x".repeat(65_536);
+
+describe("runGeneration", () => {
+  async function runOnce(script: ConnectionScript) {
+    const server = new RawEndpoint(script);
+    const port = await server.start();
+    const { sender, clock } = createSender();
+    const task = new SampleTask({
+      id: "a",
+      path: "/",
+      headers: [],
+      body: "",
+      expectedTokens: 10,
+      group: "g",
+    });
+    const startMs = performance.now();
+    const report = await runGeneration({
+      clock,
+      sender,
+      task,
+      endpoint: createEndpoint(port),
+      urgency: 5,
+      deadlineMs: 15_000,
+      signal: new AbortController().signal,
+      lot: {
+        id: "l",
+        host: "a.example",
+        path: "/",
+        model: "m",
+        minVersion: 1,
+        wantedGroups: 1,
+        acceptedAtMs: 0,
+        samples: [task.request],
+      },
+    });
+    const tookMs = performance.now() - startMs;
+    sender.close();
+    server.close();
+    return { report, tookMs, task };
+  }
+
+  const streamHead = `${HEAD}X-Briarhill-Weight-Versions: 1\r\n\r\n`;
+
+  it("ends an event without end", async () => {
+    const script = createEndlessScript(`${streamHead}id: 0\ndata: `, {
+      piece: PIECE,
+    });
+    const { report, tookMs } = await runOnce(script);
+    assert.deepEqual(report, { end: "broken", reason: "oversized" });
+    assert.ok(tookMs < SLACK_MS, `took ${tookMs} ms`);
+  });
+
+  it("ends a stream of endless events", async () => {
+    let id = 0;
+    const { report, task } = await runOnce((socket) => {
+      socket.write(streamHead);
+      const write = () => {
+        while (
+          !socket.destroyed && socket.write(`id: ${id++}\ndata: ${PIECE}\n\n`)
+        );
+      };
+      socket.on("drain", write);
+      write();
+    });
+    assert.deepEqual(report, { end: "broken", reason: "oversized" });
+    assert.ok(task.eventCount <= 16);
+  });
+
+  it("ends a stream that sends bytes now and then but no events", async () => {
+    const script = createEndlessScript(`${streamHead}id: 0\ndata: `, {
+      piece: "x",
+      pauseMs: 100,
+    });
+    const { report, tookMs } = await runOnce(script);
+    assert.deepEqual(report, { end: "broken", reason: "silent" });
+    assert.ok(tookMs < 2_500 + SLACK_MS, `took ${tookMs} ms`);
+  });
+
+  it("keeps a slow stream whose events are whole", async () => {
+    const { report, task } = await runOnce((socket) => {
+      socket.write(streamHead);
+      let id = 0;
+      const timer = setInterval(() => {
+        socket.write(`id: ${id}\ndata: e\n\n`);
+        if (++id === 4) {
+          clearInterval(timer);
+          socket.end();
+        }
+      }, 900);
+    });
+    assert.equal(report.end, "finished");
+    assert.equal(task.eventCount, 4);
+  });
+});
--- a/packages/edge/test/node/entry_host_test.ts
+++ b/packages/edge/test/node/entry_host_test.ts
@@ -145,6 +145,31 @@
     );
   });
 
+  it("sends nothing more to endpoints whose answers say that they are leaving", async () => {
+    const leaving = [platform.engines[0], platform.services[0]]
+      .filter((one) => one !== undefined);
+    const countRuns = () => leaving.map(({ runs }) => runs.length);
+    const runLot = async (lot: string) => {
+      assert.equal((await platform.sendLot(0, lot, 6)).status, 202);
+      await platform.waitResults(0, lot, 6);
+    };
+    const started = countRuns();
+    leaving.forEach((one) => one.leaving.start());
+    // All samples of a model run at one host, which has to be told by both.
+    await platform.waitFor(async () => {
+      await runLot(`lot-f-${Date.now()}`);
+      return countRuns().every((runs, index) => runs > (started[index] ?? 0));
+    });
+    const told = countRuns();
+    await runLot("lot-g");
+    assert.deepEqual(countRuns(), told);
+    leaving.forEach((one) => one.startAnew());
+    await platform.waitFor(async () => {
+      await runLot(`lot-h-${Date.now()}`);
+      return countRuns().every((runs, index) => runs > (told[index] ?? 0));
+    });
+  });
+
   it("goes on after the store has dropped its history and dealt its groups anew", async () => {
     platform.store.clearHistory();
     platform.store.assignAnew();
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -7,10 +7,12 @@
   ATTEMPT_ID,
   EXPECTED_INSTANCE,
   LAST_EVENT_ID,
+  LEAVING,
   NOT_EXECUTED,
   SIGNATURE,
   WEIGHT_VERSIONS,
 } from "@briarhill/platform/names/headers";
+import { LeavingWatch } from "./leaving_watch.ts";
 import { ORDER_PATH, REPORT_PATH } from "@briarhill/platform/names/paths";
 import { Buffer } from "node:buffer";
 import {
@@ -60,7 +62,9 @@
   readonly orders: ReceivedOrder[] = [];
   readonly runs: ReceivedRun[] = [];
   readonly #versions: Map<string, number>;
-  readonly #bornMs = Date.now();
+  /** Who knows that this endpoint is leaving, and sends to it all the same. */
+  readonly leaving = new LeavingWatch();
+  #bornMs = Date.now();
   readonly #server = createServer((request, response) => {
     void this.#handle(request, response);
   });
@@ -91,6 +95,14 @@
     this.#server.closeAllConnections();
   }
 
+  /** Starts anew, as another incarnation under the same id. */
+  startAnew(): void {
+    this.leaving.clear();
+    this.#bornMs = Date.now();
+    this.#beat = 0;
+    this.#orderCount = 0;
+  }
+
   /**
    * Returns the entry in the platform's list.
    *
@@ -130,6 +142,9 @@
       chunks.push(chunk);
     }
     const body = Buffer.concat(chunks);
+    if (this.leaving.isLeaving) {
+      response.setHeader(LEAVING, "1");
+    }
     const expected = request.headers[EXPECTED_INSTANCE.toLowerCase()];
     if (expected !== undefined && expected !== this.options.id) {
       response.writeHead(421).end();
@@ -186,6 +201,8 @@
       response.writeHead(503, { ...headers, [NOT_EXECUTED]: "1" }).end();
       return;
     }
+    const { remoteAddress, remotePort } = request.socket;
+    this.leaving.checkRun(attemptId, `${remoteAddress}:${remotePort}`);
     const last = request.headers[LAST_EVENT_ID.toLowerCase()];
     const fromEvent = last === undefined ? 0 : Number(last) + 1;
     this.runs.push({ attemptId, path: request.url ?? "", fromEvent });
--- a/packages/fakes/src/platform/host_settings_text.ts
+++ b/packages/fakes/src/platform/host_settings_text.ts
@@ -34,6 +34,7 @@
 failure_domain = a
 ip = ${ip}
 cores = 1
+memory_mb = 256
 [listen]
 callers = ${ip}:${port}
 health = ${ip}:${port + 1}
--- a/packages/fakes/src/platform/platform_stand_in.ts
+++ b/packages/fakes/src/platform/platform_stand_in.ts
@@ -51,23 +51,27 @@
     this.links = new PlatformLinks({
       store: { hostname: STORE_IP, port: base },
       hosts: Array.from({ length: hosts }, (_, host) => this.getAddress(host)),
-      endpoints: hosts === 0 ? [] : [...this.engines, ...this.services].map(
-        ({ options }) => options,
-      ),
+      endpoints: hosts === 0
+        ? []
+        : this.endpoints.map(({ options }) => options),
     });
   }
 
   /** Opens the store and the endpoints, and publishes the configuration. */
   async start(): Promise<void> {
     await this.store.start(STORE_IP, this.base);
-    const endpoints = [...this.engines, ...this.services];
-    await Promise.all(endpoints.map((endpoint) => endpoint.start()));
+    await Promise.all(this.endpoints.map((endpoint) => endpoint.start()));
     await this.links.start();
     this.publishConfiguration();
     this.#publishEntries();
     this.#beats = setInterval(() => this.#publishEntries(), BEAT_MS);
   }
 
+  /** All engines and services. */
+  get endpoints(): readonly EndpointStandIn[] {
+    return [...this.engines, ...this.services];
+  }
+
   /** The text that every sample has when it is whole. */
   get wholeText(): string {
     return Array.from({ length: EVENTS }, (_, id) => `e${id}`).join("\n");
@@ -95,7 +99,7 @@
     clearInterval(this.#beats);
     this.links.close();
     this.store.close();
-    [...this.engines, ...this.services].forEach((one) => one.close());
+    this.endpoints.forEach((one) => one.close());
   }
 
   #createEndpoint(
@@ -115,7 +119,7 @@
   }
 
   #publishEntries(): void {
-    for (const endpoint of [...this.engines, ...this.services]) {
+    for (const endpoint of this.endpoints) {
       const { id } = endpoint.options;
       this.store.publish(ENDPOINT_TOPIC, id, endpoint.createEntry());
     }
--- a/packages/platform/src/engine/event_decoder.ts
+++ b/packages/platform/src/engine/event_decoder.ts
@@ -2,11 +2,14 @@
  * Decodes the event stream of an engine, piece by piece.
  * @module
  */
+import { InputError } from "@briarhill/common/errors/errors";
 import { Buffer } from "node:buffer";
 import { StringDecoder } from "node:string_decoder";
 import { WEIGHT_VERSIONS } from "../names/headers.ts";
 
 const EVENT_END = "\n\n";
+/** The longest event, in characters; an event holds a few tokens. */
+const MAX_EVENT_CHARACTERS = 65_536;
 const VERSION_FIELD = WEIGHT_VERSIONS.toLowerCase();
 
 /** One whole event. */
@@ -28,7 +31,8 @@
   }
 
   /**
-   * Takes the next bytes and returns the events that they complete.
+   * Takes the next bytes and returns the events that they complete. An event
+   * without end is an {@link InputError}.
    *
    * @param bytes - The bytes.
    */
@@ -36,6 +40,12 @@
     this.#rest += this.#decoder.write(bytes).replaceAll("\r\n", "\n");
     const blocks = this.#rest.split(EVENT_END);
     this.#rest = blocks.pop() ?? "";
+    if (this.#rest.length > MAX_EVENT_CHARACTERS) {
+      throw new InputError(
+        `an event is longer than ${MAX_EVENT_CHARACTERS} characters`,
+        { props: { key: "event" } },
+      );
+    }
     return blocks.map(parseEvent).filter((event) => event !== undefined);
   }
 }
--- a/packages/platform/src/ingress/endpoint_answer.ts
+++ b/packages/platform/src/ingress/endpoint_answer.ts
@@ -6,12 +6,15 @@
 import type { IncomingHttpHeaders } from "node:http";
 import {
   ATTEMPT_ID,
+  LEAVING,
   LOAD,
   NOT_EXECUTED,
   SIGNATURE,
   WEIGHT_VERSIONS,
 } from "../names/headers.ts";
 
+const LEAVING_YES = "1";
+
 /** What the head of an endpoint's answer says. */
 export interface EndpointAnswerHead {
   readonly status: number;
@@ -21,6 +24,8 @@
   readonly isRefused: boolean;
   /** Another endpoint has taken over the address. */
   readonly isOtherEndpoint: boolean;
+  /** The endpoint is about to stop and takes no new work. */
+  readonly isLeaving: boolean;
   /** Proves that an endpoint made the answer; empty where it is missing. */
   readonly signature: string;
   /** Running and waiting requests, or undefined where it doesn't say. */
@@ -48,6 +53,7 @@
     isRefused: status === 421 ||
       headers[NOT_EXECUTED.toLowerCase()] !== undefined,
     isOtherEndpoint: status === 421,
+    isLeaving: getText(headers, LEAVING) === LEAVING_YES,
     signature: getText(headers, SIGNATURE),
     requests: decodeLoad(getText(headers, LOAD)),
     version: decodeVersion(getText(headers, WEIGHT_VERSIONS)),
--- a/packages/platform/src/names/headers.ts
+++ b/packages/platform/src/names/headers.ts
@@ -13,6 +13,8 @@
 export const SIGNATURE = "X-Briarhill-Server-Signature";
 /** Present where the endpoint has not run the request. */
 export const NOT_EXECUTED = "X-Briarhill-Not-Executed";
+/** Says "1" in every answer of an endpoint that is about to stop. */
+export const LEAVING = "Server-Leaving";
 /** Running requests, waiting requests and slots of the endpoint. */
 export const LOAD = "X-Briarhill-Server-Load";
 /** How long a read may be held open, in milliseconds. */
--- a/packages/rollout/src/dispatch/sample_task.ts
+++ b/packages/rollout/src/dispatch/sample_task.ts
@@ -19,6 +19,9 @@
 /** Fewer events are sooner generated again than kept. */
 const MIN_PROGRESS_EVENTS = 20;
 
+/** The longest text of a sample, in characters; a page of results holds 1 MB. */
+const MAX_TEXT_CHARACTERS = 1_000_000;
+
 /** One event of a stream. */
 export interface GeneratedEvent {
   readonly id: number;
@@ -27,8 +30,8 @@
   readonly version: number;
 }
 
-/** What an event means for its sample: "gap" and "outdated" end the run. */
-export type EventVerdict = "taken" | "gap" | "outdated";
+/** What an event means for its sample: all but "taken" end the run. */
+export type EventVerdict = "taken" | "gap" | "outdated" | "oversized";
 
 /** The work on one sample. */
 export class SampleTask {
@@ -46,6 +49,7 @@
   score = "";
   #texts: string[] = [];
   readonly #versions = new Set<number>();
+  #characters = 0;
   #lastEventId = -1;
   /** How many events the shared log holds. */
   #keptCount = 0;
@@ -82,6 +86,10 @@
     if (this.#texts.length > 0 && event.id !== this.#lastEventId + 1) {
       return "gap";
     }
+    if (this.#characters + event.data.length > MAX_TEXT_CHARACTERS) {
+      return "oversized";
+    }
+    this.#characters += event.data.length;
     this.#texts.push(event.data);
     this.#versions.add(event.version);
     this.#lastEventId = event.id;
@@ -91,6 +99,7 @@
   /** Drops what was generated, so that it starts anew. */
   clear(): void {
     this.#texts = [];
+    this.#characters = 0;
     this.#versions.clear();
     this.#lastEventId = -1;
     this.isWhole = false;
@@ -122,6 +131,7 @@
    */
   resume(progress: SampleProgress): void {
     this.#texts = [...progress.texts];
+    this.#characters = countCharacters(this.#texts);
     progress.versions.forEach((version) => this.#versions.add(version));
     this.#lastEventId = progress.lastEventId;
     // The log's events are another writer's, which may go on with others.
@@ -143,6 +153,7 @@
       return false;
     }
     this.#texts = [...other.#texts];
+    this.#characters = other.#characters;
     other.versions.forEach((version) => this.#versions.add(version));
     this.#lastEventId = other.#lastEventId;
     this.isWhole = other.isWhole;
@@ -175,3 +186,7 @@
     };
   }
 }
+
+function countCharacters(texts: readonly string[]): number {
+  return texts.reduce((sum, { length }) => sum + length, 0);
+}
--- a/packages/routing/src/endpoints/endpoint_table.ts
+++ b/packages/routing/src/endpoints/endpoint_table.ts
@@ -63,6 +63,25 @@
     return known?.isListed ? "updated" : "added";
   }
 
+  /**
+   * Marks an endpoint as leaving by its own word, and tells whether that was
+   * news. Final for this start of it, whatever its entry says.
+   *
+   * @param structure - The endpoint as it was when it was sent to.
+   */
+  setLeaving({ id, startedAtMs }: EndpointStructure): boolean {
+    const known = this.#known.get(id);
+    if (
+      known === undefined || known.structure.isLeaving ||
+      known.structure.startedAtMs !== startedAtMs
+    ) {
+      return false;
+    }
+    const structure = { ...known.structure, isLeaving: true };
+    this.#set(id, { ...known, structure });
+    return true;
+  }
+
   /**
    * Applies the removal of an entry.
    *
--- a/packages/routing/test/endpoints/endpoints_test.ts
+++ b/packages/routing/test/endpoints/endpoints_test.ts
@@ -60,6 +60,30 @@
     assert.equal(table.applyEntry(createEndpoint("e", { beat: 4 })), "added");
   });
 
+  it("gives no work to an endpoint whose own answer says that it is leaving", () => {
+    const table = new EndpointTable();
+    const endpoint = createEndpoint("e", { beat: 5 });
+    table.applyEntry(endpoint);
+    assert.equal(table.setLeaving(endpoint), true);
+    assert.equal(table.setLeaving(endpoint), false);
+    assert.deepEqual(listIds(table), []);
+    table.applyEntry(createEndpoint("e", { beat: 6 }));
+    table.applyRemoval("e", { nowMs: 9_000, disturbedAtMs: 0 });
+    table.applyEntry(createEndpoint("e", { beat: 7 }));
+    assert.deepEqual(listIds(table), []);
+  });
+
+  it("uses an endpoint again that has started anew since it was leaving", () => {
+    const table = new EndpointTable();
+    const before = createEndpoint("e");
+    table.applyEntry(before);
+    table.setLeaving(before);
+    table.applyEntry(createEndpoint("e", { startedAtMs: 200 }));
+    assert.deepEqual(listIds(table), ["e"]);
+    assert.equal(table.setLeaving(before), false);
+    assert.deepEqual(listIds(table), ["e"]);
+  });
+
   it("removes at once while the list is undisturbed", () => {
     const table = new EndpointTable();
     table.applyEntry(createEndpoint("e"));
