Leave a lot with the process that runs it, and hand all of it over at a stop

Cause: a lot moved with its shard. What a stopping host had generated since its last record, up to 0.7 s and 20 events a sample, was lost.

Ruled out: the engines and the order of samples. In undisturbed stretches the last sample of a lot ends within 0.1 s of what its length takes.

Change: the process that runs a lot claims it in the lot's shard. The next owner of the shard asks it over the hosts' port, goes on only where it doesn't run the lot or doesn't answer, and reads what it kept last before. A stopping host appends all that its samples have before it leaves the group. Hosts that own shards join each 250 ms and are missed after 1.2 s (600 ms and 2 s before); others join as before, so that the calls don't grow with the fleet. The wait of 0.9 s before samples of another owner went on is gone.

--- a/packages/edge/src/lots/create_lot_runner.ts
+++ b/packages/edge/src/lots/create_lot_runner.ts
@@ -12,7 +12,7 @@
 export interface RunnerParts extends
   Omit<
     LotRunnerOptions,
-    "settler" | "progress" | "takeEarlier" | "resumeAtMs"
+    "settler" | "progress" | "takeEarlier"
   > {
   readonly appender: LotAppender;
 }
@@ -32,10 +32,10 @@
   parts: RunnerParts,
 ): LotOwnerOptions["createRunner"] {
   const { appender, clock } = parts;
-  return (lot, partition, terms) =>
+  return (lot, partition, takeEarlier) =>
     new LotRunner(lot, {
       ...parts,
-      ...terms,
+      takeEarlier,
       progress: new ProgressKeeper(lot.id, partition, appender),
       settler: new ResultSettler({
         lot: lot.id,
--- a/packages/edge/src/lots/lot_archive.ts
+++ b/packages/edge/src/lots/lot_archive.ts
@@ -90,7 +90,7 @@
     while (!signal.aborted) {
       await clock.sleep(SWEEP_EVERY_MS, signal);
       const beforeMs = clock.getWallMs() - lotLifeMs - SLACK_MS;
-      for (const { partition } of group.listShards()) {
+      for (const partition of group.listShards()) {
         for (const entry of partition.view.listClosed(beforeMs)) {
           try {
             await this.#removeLot(partition.number, entry);
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -30,8 +30,6 @@
   readonly scorer: SampleScorer;
   readonly settler: ResultSettler;
   readonly progress: ProgressKeeper;
-  /** When samples that another host may still run go on, on the monotonic clock. */
-  readonly resumeAtMs: number;
   readonly getTable: () => RouteTable | undefined;
   /** Takes over what an earlier lot has generated of a sample, which then ends there. */
   readonly takeEarlier: (sample: string) => SampleTask | undefined;
@@ -48,7 +46,7 @@
     this.#options = options;
     // All scoring calls of a lot wait for the one signal.
     setMaxListeners(0, this.#stopping.signal);
-    this.#work = new LotWork(lot, options.resumeAtMs);
+    this.#work = new LotWork(lot);
     this.#runs = new RunningSamples(options, lot);
     const { minVersion, model } = lot.request;
     const merged = this.#work.listTasks().filter((task) => {
@@ -86,6 +84,13 @@
     this.#runs.abortAll();
   }
 
+  /** Cancels what runs and keeps all that was generated, so that another host goes on from there. */
+  async release(): Promise<void> {
+    this.stop();
+    const { progress, clock } = this.#options;
+    await progress.finish(this.#work, clock.getMonotonicMs());
+  }
+
   /** Starts what can be started now. */
   advance(): void {
     const { clock, getTable } = this.#options;
--- a/packages/edge/src/lots/sample_scorer.ts
+++ b/packages/edge/src/lots/sample_scorer.ts
@@ -10,6 +10,7 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import { Buffer } from "node:buffer";
 import type { CallForwarder } from "../calls/call_forwarder.ts";
+import type { CallOutcome } from "../calls/call_outcome.ts";
 
 const FIRST_FAILURE_STATUS = 300;
 const SERVER_ERROR_STATUS = 500;
@@ -45,7 +46,8 @@
     signal: AbortSignal,
   ): Promise<ScoringReport> {
     const call = encodeScoring(scoring);
-    const deadlineMs = this.#clock.getMonotonicMs() + route.timeoutMs;
+    const startMs = this.#clock.getMonotonicMs();
+    const deadlineMs = startMs + route.timeoutMs;
     const { outcome, attempts, failedAnswers } = await this.#forwarder.forward({
       route,
       attemptId: scoring.id,
@@ -56,19 +58,22 @@
       deadlineMs,
       signal,
     });
-    if (outcome.kind === "answered") {
-      const { status, signature } = decodeEndpointAnswer(outcome.whole);
-      if (status < FIRST_FAILURE_STATUS && signature !== "") {
-        return { signature, failures: 0 };
-      }
+    const signature = getScore(outcome);
+    const report = {
+      scoring: scoring.id,
+      attempts,
+      tookMs: Math.round(this.#clock.getMonotonicMs() - startMs),
+    };
+    if (signature !== "") {
+      this.#logger.info("sample-scored", report);
+      return { signature, failures: 0 };
     }
     this.#logger.warn("scoring-failed", {
-      scoring: scoring.id,
+      ...report,
       kind: outcome.kind,
       reason: outcome.kind === "answered"
         ? `status ${outcome.whole.status}`
         : outcome.reason,
-      attempts,
       failedAnswers,
     });
     const isFailure = outcome.kind === "answered" &&
@@ -76,3 +81,12 @@
     return { signature: "", failures: isFailure ? failedAnswers : 0 };
   }
 }
+
+/** Returns the signature of a successful answer, or an empty text. */
+function getScore(outcome: CallOutcome): string {
+  if (outcome.kind !== "answered") {
+    return "";
+  }
+  const { status, signature } = decodeEndpointAnswer(outcome.whole);
+  return status < FIRST_FAILURE_STATUS ? signature : "";
+}
--- a/packages/edge/src/lots/shard_group.ts
+++ b/packages/edge/src/lots/shard_group.ts
@@ -17,15 +17,17 @@
 /** The group of the hosts that run lots. */
 export const LOT_GROUP = "lot-owners";
 /** How long a silent host keeps its shards, in milliseconds: a dead owner's lots wait this long. */
-const GROUP_TTL_MS = 2_000;
-/** How often a host says that it is there, in milliseconds. */
+const GROUP_TTL_MS = 1_200;
+/** How often a host that owns shards says that it is there, in milliseconds; there are no more such hosts than shards. */
+const OWNER_JOIN_EVERY_MS = 250;
+/** The same for a host that owns none; their number grows with the fleet. */
 const JOIN_EVERY_MS = 600;
-/** How long the owner before may go on after its shard was assigned anew, in milliseconds: it learns of that at its next join. */
-const HANDOVER_MS = 900;
 /** How long a small host leaves larger ones the time to join, in milliseconds. */
 const SMALL_HOST_DELAY_MS = 2_000;
 /** How long a host runs its lots on while it can't reach the group, in milliseconds. */
 const OWN_UNTIL_MS = 8_000;
+/** How long after its last join a host says of its lots that it runs them, in milliseconds. */
+const CURRENT_MS = 1_500;
 
 /** What a group needs. */
 export interface ShardGroupOptions {
@@ -40,18 +42,16 @@
   readonly cores: number;
 }
 
-/** A shard that this host owns. */
-export interface OwnedShard {
-  readonly partition: FollowedPartition<OpenLots>;
-  /** When samples that its owner before may still run go on, on the monotonic clock. */
-  readonly resumeAtMs: number;
-}
+/** A shard of the open lots that this host follows. */
+export type FollowedShard = FollowedPartition<OpenLots>;
 
 /** This host's part of the shards. */
 export class ShardGroup {
   readonly #options: ShardGroupOptions;
   readonly #stopping = new AbortController();
-  readonly #owned = new Map<number, OwnedShard>();
+  readonly #owned = new Map<number, FollowedShard>();
+  /** Shards that this host owned before and some of whose lots it still runs. */
+  readonly #left = new Map<number, FollowedShard>();
   #onChange: () => void = () => undefined;
   #generation = 0;
   #hasJoined = false;
@@ -62,9 +62,32 @@
   }
 
   /** Returns the shards that this host owns; none when it can't reach the group for long. */
-  listShards(): readonly OwnedShard[] {
-    const sinceMs = this.#options.clock.getMonotonicMs() - this.#joinedAtMs;
-    return sinceMs < OWN_UNTIL_MS ? [...this.#owned.values()] : [];
+  listShards(): readonly FollowedShard[] {
+    return this.#sinceJoinMs < OWN_UNTIL_MS ? [...this.#owned.values()] : [];
+  }
+
+  /** Returns the shards that other hosts own by now and that were not let go of. */
+  listLeft(): readonly FollowedShard[] {
+    return this.#sinceJoinMs < OWN_UNTIL_MS ? [...this.#left.values()] : [];
+  }
+
+  /** Whether this host has reached the group just now. */
+  get isCurrent(): boolean {
+    return this.#sinceJoinMs < CURRENT_MS;
+  }
+
+  get #sinceJoinMs(): number {
+    return this.#options.clock.getMonotonicMs() - this.#joinedAtMs;
+  }
+
+  /**
+   * Lets go of a shard that another host owns, as none of its lots runs here.
+   *
+   * @param shard - The shard.
+   */
+  dropShard(shard: FollowedShard): void {
+    shard.stop();
+    this.#left.delete(shard.number);
   }
 
   /**
@@ -80,8 +103,11 @@
   /** Leaves the group, so that others get the shards at once. */
   async stop(): Promise<void> {
     this.#stopping.abort();
-    this.#owned.forEach(({ partition }) => partition.stop());
+    [...this.#owned.values(), ...this.#left.values()].forEach((shard) =>
+      shard.stop()
+    );
     this.#owned.clear();
+    this.#left.clear();
     try {
       await this.#options.log.leaveGroup(this.#createMembership());
     } catch (error) {
@@ -104,7 +130,10 @@
         }
         logger.error("group-join-failed", error);
       }
-      await clock.sleep(JOIN_EVERY_MS, signal);
+      await clock.sleep(
+        this.#owned.size > 0 ? OWNER_JOIN_EVERY_MS : JOIN_EVERY_MS,
+        signal,
+      );
     }
   }
 
@@ -149,22 +178,17 @@
       !numbers.includes(one)
     );
     const gained = numbers.filter((one) => !this.#owned.has(one));
+    this.#hasJoined = true;
     for (const one of lost) {
-      this.#owned.get(one)?.partition.stop();
+      const shard = this.#owned.get(one);
       this.#owned.delete(one);
+      if (shard !== undefined) {
+        this.#left.set(one, shard);
+      }
     }
-    // At the start of a process no other one has run its shards since.
-    const handoverMs = this.#hasJoined ? HANDOVER_MS : 0;
-    this.#hasJoined = true;
-    const resumeAtMs = this.#joinedAtMs + handoverMs;
-    const onChange = () => this.#onChange();
     for (const one of gained) {
-      const partition = new FollowedPartition(
-        { topic: LOT_WORK_TOPIC, partition: one },
-        new OpenLots(),
-        { ...this.#options, onChange },
-      );
-      this.#owned.set(one, { partition, resumeAtMs });
+      this.#owned.set(one, this.#left.get(one) ?? this.#followShard(one));
+      this.#left.delete(one);
     }
     if (lost.length + gained.length > 0) {
       this.#options.logger.info("partitions-assigned", {
@@ -175,4 +199,12 @@
       this.#onChange();
     }
   }
+
+  #followShard(number: number): FollowedShard {
+    return new FollowedPartition(
+      { topic: LOT_WORK_TOPIC, partition: number },
+      new OpenLots(),
+      { ...this.#options, onChange: () => this.#onChange() },
+    );
+  }
 }
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -77,10 +77,13 @@
   async start(): Promise<void> {
     const { callers, health, peers, metrics } = this.#settings;
     await this.#callers.start([callers, health]);
-    await this.#store.listener.start(
-      peers,
-      (request, response) => this.#ingress.handle(request, response),
-    );
+    const { claims } = this.#training;
+    await this.#store.listener.start(peers, {
+      onCall: (request, response) =>
+        void this.#ingress.handle(request, response),
+      onClaim: (request, response) =>
+        claims.handle(request, response, (lot) => this.isRunning(lot)),
+    });
     await this.#metrics.start(metrics);
     this.#serving.published.start();
     this.#store.peers.start();
@@ -94,6 +97,15 @@
     });
   }
 
+  /**
+   * Tells whether the samples of a lot run at this host.
+   *
+   * @param lot - The lot.
+   */
+  isRunning(lot: string): boolean {
+    return this.#training.owner.isRunning(lot);
+  }
+
   /** Hands all duties over, ends what is in progress, and stops within the grace period. */
   async stop(): Promise<void> {
     if (this.#isStopping) {
@@ -124,6 +136,7 @@
     this.#readers.close();
     this.#store.peers.stop();
     this.#metrics.close();
+    this.#training.claims.close();
     this.#training.partitions.stop();
     this.#serving.published.stop();
     this.#serving.sender.close();
--- a/packages/edge/src/node/training.ts
+++ b/packages/edge/src/node/training.ts
@@ -6,6 +6,7 @@
 import { EnginePicker } from "../lots/engine_picker.ts";
 import { createLotRunner } from "../lots/create_lot_runner.ts";
 import { LotAppender } from "../lots/lot_appender.ts";
+import { LotClaims } from "../lots/lot_claims.ts";
 import { LotDesk } from "../lots/lot_desk.ts";
 import { LotArchive } from "../lots/lot_archive.ts";
 import { LotOwner, type LotOwnerOptions } from "../lots/lot_owner.ts";
@@ -26,6 +27,7 @@
   readonly desk: LotDesk;
   readonly owner: LotOwner;
   readonly archive: LotArchive;
+  readonly claims: LotClaims;
   readonly lease: LeaseKeeper;
   readonly orders: OrderKeeper;
 }
@@ -62,17 +64,19 @@
   });
   const { lotLifeMs } = settings;
   const archive = new LotArchive({ ...shared, group, lotLifeMs });
+  const claims = new LotClaims({ ...shared, peerPort: settings.peers.port });
   const owner = new LotOwner({
-    clock,
+    ...context,
     group,
     partitions,
     archive,
+    claims,
     createRunner: createRunners(context, { appender, serving }),
   });
   const maxRecordBytes = settings.recordBytes;
   const desk = new LotDesk({ clock, partitions, appender, maxRecordBytes });
   const orders = createOrders(context, options);
-  return { partitions, desk, owner, archive, ...orders };
+  return { partitions, desk, owner, archive, claims, ...orders };
 }
 
 function createRunners(
--- a/packages/edge/src/peers/peer_listener.ts
+++ b/packages/edge/src/peers/peer_listener.ts
@@ -14,6 +14,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { CLAIM_HEADER } from "../lots/lot_claims.ts";
 import { RELAY_HEADER, type RelayedTransport } from "./relayed_transport.ts";
 
 const BODY_TIMEOUT_MS = 2_000;
@@ -21,11 +22,19 @@
 const MAX_BODY_BYTES = 4_194_304;
 const STATUS_UNAVAILABLE = 503;
 
-/** Answers a call that another host passes on. */
+/** Answers a call of another host. */
 export type PeerCallHandler = (
   request: IncomingMessage,
   response: ServerResponse,
-) => Promise<void>;
+) => void;
+
+/** Who answers which calls of other hosts. */
+export interface PeerCallHandlers {
+  /** Questions for lots that run here. */
+  readonly onClaim: PeerCallHandler;
+  /** Calls that another host passes on for its client. */
+  readonly onCall: PeerCallHandler;
+}
 
 /** Listens for other hosts. */
 export class PeerListener {
@@ -42,15 +51,17 @@
    * Listens for other hosts.
    *
    * @param address - Where.
-   * @param onCall - Answers the calls that are not for the store.
+   * @param handlers - Who answers the calls that are not for the store.
    */
-  start(address: HttpAddress, onCall: PeerCallHandler): Promise<void> {
+  start(address: HttpAddress, handlers: PeerCallHandlers): Promise<void> {
     this.#server.on("request", (request, response) => {
-      const isRelayed =
-        request.headers[RELAY_HEADER.toLowerCase()] !== undefined;
-      void (isRelayed
-        ? this.#forwardToStore(request, response)
-        : onCall(request, response));
+      if (request.headers[RELAY_HEADER.toLowerCase()] !== undefined) {
+        void this.#forwardToStore(request, response);
+      } else if (request.headers[CLAIM_HEADER.toLowerCase()] !== undefined) {
+        handlers.onClaim(request, response);
+      } else {
+        handlers.onCall(request, response);
+      }
     });
     return openServer(this.#server, address);
   }
--- a/packages/edge/test/node/platform_fixture.ts
+++ b/packages/edge/test/node/platform_fixture.ts
@@ -27,6 +27,11 @@
     await this.#waitShared(count);
   }
 
+  /** Stops the host that runs a lot. */
+  async stopOwner(lot: string): Promise<void> {
+    await this.#hosts.find((host) => host.isRunning(lot))?.stop();
+  }
+
   async stopHosts(): Promise<void> {
     await Promise.all(this.#hosts.map((host) => host.stop()));
     this.stop();
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -73,6 +73,8 @@
   #isBusy = false;
   /** Streams break off after this many events. */
   breakAfter = Infinity;
+  /** The pause before each event beyond the usual, in milliseconds. */
+  eventDelayMs = 0;
   /** Answers are held back this long, in milliseconds. */
   delayMs = 0;
 
@@ -222,7 +224,7 @@
   async #writeEvents(response: ServerResponse, from: number): Promise<void> {
     const { events, eventMs } = this.options;
     for (let id = from; id < events; id++) {
-      await sleep(eventMs);
+      await sleep(eventMs + this.eventDelayMs);
       if (id - from >= this.breakAfter) {
         response.write(`id: ${id}\nda`);
         response.destroy();
--- a/packages/rollout/src/dispatch/lot_work.ts
+++ b/packages/rollout/src/dispatch/lot_work.ts
@@ -23,11 +23,9 @@
   readonly #order: readonly SampleTask[];
 
   /**
-   * @param lot - The lot.
-   * @param resumeAtMs - When samples that another host may still run go on from
-   * what it has kept, on the monotonic clock.
+   * @param lot - The lot; its samples go on from what earlier owners have kept.
    */
-  constructor(lot: LedgerLot, resumeAtMs: number) {
+  constructor(lot: LedgerLot) {
     this.lot = lot;
     for (const sample of lot.request.samples) {
       if (!lot.isSettled(sample.id)) {
@@ -35,7 +33,6 @@
         const progress = lot.getProgress(sample.id);
         if (progress !== undefined) {
           task.resume(progress);
-          task.notBeforeMs = resumeAtMs;
         }
         this.#tasks.set(sample.id, task);
       }
@@ -80,9 +77,15 @@
     );
   }
 
-  /** Returns what samples have gained since they were last kept, where it is worth keeping. */
-  takeProgress(): readonly SampleProgress[] {
-    return this.listOpen().flatMap((task) => task.takeProgress() ?? []);
+  /**
+   * Returns what samples have gained since they were last kept.
+   *
+   * @param minEvents - How many events of a sample are worth keeping.
+   */
+  takeProgress(minEvents: number): readonly SampleProgress[] {
+    return this.listOpen().flatMap((task) =>
+      task.takeProgress(minEvents) ?? []
+    );
   }
 
   /**
--- a/packages/rollout/src/dispatch/sample_task.ts
+++ b/packages/rollout/src/dispatch/sample_task.ts
@@ -16,9 +16,6 @@
   | "scoring"
   | "done";
 
-/** Fewer events are sooner generated again than kept. */
-const MIN_PROGRESS_EVENTS = 20;
-
 /** The longest text of a sample, in characters; a page of results holds 1 MB. */
 const MAX_TEXT_CHARACTERS = 1_000_000;
 
@@ -108,10 +105,14 @@
     this.#keptCount = Infinity;
   }
 
-  /** Returns the events that the shared log lacks, or undefined where they are too few. */
-  takeProgress(): SampleProgress | undefined {
+  /**
+   * Returns the events that the shared log lacks, or undefined where they are too few.
+   *
+   * @param minEvents - How many events are enough.
+   */
+  takeProgress(minEvents: number): SampleProgress | undefined {
     const fromEvent = this.#keptCount;
-    if (this.#texts.length < fromEvent + MIN_PROGRESS_EVENTS) {
+    if (this.#texts.length < fromEvent + minEvents) {
       return undefined;
     }
     this.#keptCount = this.#texts.length;
--- a/packages/rollout/src/ledger/open_lots.ts
+++ b/packages/rollout/src/ledger/open_lots.ts
@@ -16,6 +16,8 @@
   readonly lot: LotId;
   /** The partition that holds its records. */
   readonly partition: number;
+  /** The process that runs it; undefined where none has claimed it. */
+  readonly owner?: string;
   /** When it was closed, in milliseconds since 1970; undefined while it is open. */
   readonly closedAtMs?: number;
 }
@@ -52,7 +54,8 @@
   readonly #entries = new Map<LotId, OpenLotEntry>();
 
   /**
-   * Applies the next record; a lot that was closed stays closed.
+   * Applies the next record; a lot that was closed stays closed, and one that
+   * is announced again keeps its owner.
    *
    * @param record - The record.
    */
@@ -62,8 +65,9 @@
       return;
     }
     const entry = parseEntry(key, value);
-    if (this.#entries.get(key)?.closedAtMs === undefined) {
-      this.#entries.set(key, entry);
+    const known = this.#entries.get(key);
+    if (known?.closedAtMs === undefined) {
+      this.#entries.set(key, { ...known, ...entry });
     }
   }
 
--- a/packages/rollout/test/dispatch/dispatch_test.ts
+++ b/packages/rollout/test/dispatch/dispatch_test.ts
@@ -30,7 +30,6 @@
       acceptedAtMs: 0,
       samples,
     }),
-    0,
   );
 }
 
@@ -194,13 +193,13 @@
 
   it("returns what is new, where it is enough", () => {
     const task = createTask(25);
-    assert.equal(task.takeProgress()?.texts.length, 25);
-    assert.equal(task.takeProgress(), undefined);
-    assert.equal(createTask(5).takeProgress(), undefined);
+    assert.equal(task.takeProgress(20)?.texts.length, 25);
+    assert.equal(task.takeProgress(20), undefined);
+    assert.equal(createTask(5).takeProgress(20), undefined);
   });
 
   it("lets another host go on from there", () => {
-    const progress = createTask(25).takeProgress();
+    const progress = createTask(25).takeProgress(20);
     assert.ok(progress !== undefined);
     const other = new SampleTask(createSample("a", "g", 1));
     other.resume(progress);
@@ -209,7 +208,7 @@
     assert.equal(other.addEvent(event, 1), "taken");
     assert.deepEqual(other.versions, [2, 3]);
     // It keeps the whole text: the first host may go on with other events.
-    assert.equal(other.takeProgress()?.fromEvent, 0);
+    assert.equal(other.takeProgress(20)?.fromEvent, 0);
   });
 
   it("keeps nothing more of a text that was dropped", () => {
@@ -218,7 +217,7 @@
     for (let id = 0; id < 40; id++) {
       task.addEvent({ id, data: "x", version: 2 }, 1);
     }
-    assert.equal(task.takeProgress(), undefined);
+    assert.equal(task.takeProgress(20), undefined);
   });
 
   it("is taken over by a later lot only where all its versions are allowed", () => {
