Never send a request again on the connection that has answered it

Cause: an endpoint may send a copy of an answer late, on a connection that is in use again. The id in the answer tells copies for other requests apart, but not one for the same request: a refused request that was sent once more to the same endpoint, on the same connection, took the late copy of the refusal for the new answer. The caller was told that its request had not run while it ran.

Ruled out: copies for other requests, before or after the next request was sent: these were found out already, and have tests now.

Change: a sender remembers which request each kept connection has answered last; one that would answer the same request again is closed before anything is written, and the request takes another connection.

--- a/packages/common/src/http/http_exchange.ts
+++ b/packages/common/src/http/http_exchange.ts
@@ -20,6 +20,12 @@
   /** Names and values in turn, so that names keep their spelling and repeats survive. */
   readonly headers: readonly string[];
   readonly body?: Buffer;
+  /**
+   * Names the request where its answer echoes the name: it is not sent again on
+   * a connection that has answered it, as a late copy of that answer would be
+   * taken for the new one.
+   */
+  readonly exchangeId?: string;
   /** The longest wait for the head of the answer, in milliseconds. */
   readonly headTimeoutMs: number;
   /** Ends the exchange early; the connection is closed. */
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -32,6 +32,8 @@
 export class HttpSender {
   readonly #options: HttpSenderOptions;
   readonly #agent: Agent;
+  /** The request that each connection has answered last. */
+  readonly #lastExchanges = new WeakMap<Socket, string>();
 
   constructor(options: HttpSenderOptions) {
     this.#options = options;
@@ -53,22 +55,16 @@
    */
   open(exchange: HttpRequest): Promise<HttpHead> {
     return new Promise((resolve, reject) => {
-      const { address, method, path, body } = exchange;
-      const outgoing = request({
-        agent: this.#agent,
-        host: address.hostname,
-        port: address.port,
-        method,
-        path,
-        headers: [
-          ...exchange.headers,
-          ...(hasBody(exchange)
-            ? ["Content-Length", String(body?.length ?? 0)]
-            : []),
-        ] as unknown as Record<string, string>,
-        setHost: false,
-      });
+      const outgoing = this.#createRequest(exchange);
       const failure = this.#startWatch(outgoing, exchange);
+      let isRepeat = false;
+      outgoing.once("socket", (socket: Socket) => {
+        isRepeat = this.#hasAnswered(socket, exchange);
+        if (isRepeat) {
+          // Nothing has been written yet.
+          outgoing.destroy();
+        }
+      });
       outgoing.on("response", (response: IncomingMessage) => {
         failure.clear();
         // Without a listener, a reset after the head would end the process.
@@ -82,9 +78,11 @@
       });
       outgoing.on("error", (error) => {
         failure.clear();
-        reject(failure.createError(error));
+        isRepeat
+          ? this.open(exchange).then(resolve, reject)
+          : reject(failure.createError(error));
       });
-      outgoing.end(body);
+      outgoing.end(exchange.body);
     });
   }
 
@@ -113,6 +111,32 @@
     this.#agent.destroy();
   }
 
+  #createRequest(exchange: HttpRequest): ClientRequest {
+    const { address, method, path, body, headers } = exchange;
+    const length = hasBody(exchange)
+      ? ["Content-Length", String(body?.length ?? 0)]
+      : [];
+    return request({
+      agent: this.#agent,
+      host: address.hostname,
+      port: address.port,
+      method,
+      path,
+      headers: [...headers, ...length] as unknown as Record<string, string>,
+      setHost: false,
+    });
+  }
+
+  /** Tells whether a connection has answered the same request last, and notes the request else. */
+  #hasAnswered(socket: Socket, { exchangeId }: HttpRequest): boolean {
+    if (exchangeId === undefined) {
+      return false;
+    }
+    const hasAnswered = this.#lastExchanges.get(socket) === exchangeId;
+    this.#lastExchanges.set(socket, exchangeId);
+    return hasAnswered;
+  }
+
   /** Ends an exchange whose connection or head takes too long, and remembers why. */
   #startWatch(outgoing: ClientRequest, exchange: HttpRequest): ExchangeWatch {
     const { port, connectTimeoutMs } = this.#options;
--- a/packages/edge/src/calls/endpoint_sender.ts
+++ b/packages/edge/src/calls/endpoint_sender.ts
@@ -176,6 +176,7 @@
     const head = await this.#sender.open({
       ...rest,
       address: endpoint.address,
+      exchangeId: attemptId,
       headTimeoutMs: timeoutMs,
     });
     // Aborting later has to end the answer too.
--- a/packages/edge/test/calls/endpoint_sender_test.ts
+++ b/packages/edge/test/calls/endpoint_sender_test.ts
@@ -42,6 +42,39 @@
   return { error, tookMs, closed, sentBytes, directory };
 }
 
+const COPY_DELAY_MS = 30;
+const REFUSED = HEAD.replace("200 OK", "503 Full") +
+  "X-Briarhill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+function createAnswer(attemptId: string, body: string): string {
+  return HEAD.replace("-Id: a", `-Id: ${attemptId}`) +
+    `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Sends two requests one after the other and returns what each one ended with. */
+async function sendTwice(
+  script: ConnectionScript,
+  options: { readonly second: string; readonly pauseMs: number },
+): Promise<readonly string[]> {
+  const server = new RawEndpoint(script);
+  const endpoint = createEndpoint(await server.start());
+  const { sender } = createSender();
+  const ends: string[] = [];
+  for (const attemptId of ["a", options.second]) {
+    const request = { ...createRequest(endpoint), attemptId };
+    ends.push(
+      await sender.send(request).then(
+        ({ whole }) => `${whole.status} ${whole.body}`,
+        (error) => `${error.fault} ${error.outcome}`,
+      ),
+    );
+    await new Promise((resolve) => setTimeout(resolve, options.pauseMs));
+  }
+  sender.close();
+  server.close();
+  return ends;
+}
+
 describe("EndpointSender.send", () => {
   const cases: readonly (readonly [string, string, ConnectionScript])[] = [
     [
@@ -149,3 +182,54 @@
     assert.equal(directory.board.getLoad("e").isPaused(nowMs), true);
   });
 });
+
+describe("EndpointSender, a second copy of an answer", () => {
+  it("is never taken for the answer to the next request, when it comes before that is sent", async () => {
+    let requests = 0;
+    const [first, second] = await sendTwice((socket) => {
+      const number = requests++;
+      socket.write(createAnswer(number === 0 ? "a" : "b", `body ${number}`));
+      if (number === 0) {
+        setTimeout(
+          () => socket.write(createAnswer("a", "body 0")),
+          COPY_DELAY_MS,
+        );
+      }
+    }, { second: "b", pauseMs: 3 * COPY_DELAY_MS });
+    assert.equal(first, "200 body 0");
+    assert.equal(second, "200 body 1");
+  });
+
+  it("is never taken for the answer to the next request, when it comes after that was sent", async () => {
+    let requests = 0;
+    const [, second] = await sendTwice((socket) => {
+      if (requests++ === 0) {
+        socket.write(createAnswer("a", "body 0"));
+        return;
+      }
+      socket.write(createAnswer("a", "body 0"));
+      setTimeout(
+        () => socket.write(createAnswer("b", "body 1")),
+        COPY_DELAY_MS,
+      );
+    }, { second: "b", pauseMs: 0 });
+    assert.equal(second, "malformed unknown");
+  });
+
+  it("doesn't make a request that runs look refused, when the same request was refused before", async () => {
+    let requests = 0;
+    const [first, second] = await sendTwice((socket) => {
+      if (requests++ === 0) {
+        socket.write(REFUSED);
+        setTimeout(() => socket.write(REFUSED), COPY_DELAY_MS);
+        return;
+      }
+      setTimeout(
+        () => socket.write(createAnswer("a", "body 1")),
+        2 * COPY_DELAY_MS,
+      );
+    }, { second: "a", pauseMs: 0 });
+    assert.equal(first, "503 ");
+    assert.equal(second, "200 body 1");
+  });
+});
