Rank samples by their route's priority, and join quickly after a start

Change: a sample's urgency at an engine follows from its route's priority. A host joins the group each 250 ms in its first 5 s.

--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -4,6 +4,7 @@
  */
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
+import { getSampleUrgency } from "@briarhill/rollout/dispatch/sample_urgency";
 import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
 import type { RunningSample } from "@briarhill/rollout/dispatch/straggler_policy";
 import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
@@ -21,8 +22,6 @@
 const MOVES_EVERY_MS = 100;
 /** The longest run of a sample at one engine, in milliseconds. */
 const RUN_BOUND_MS = 15_000;
-/** The urgency of requests that say nothing. */
-const USUAL_URGENCY = 5;
 
 /** What runs need. */
 export interface RunningSamplesOptions {
@@ -33,6 +32,12 @@
   readonly metrics: HostMetrics;
 }
 
+/** Where a sample begins to run. */
+export interface SampleStart {
+  readonly endpoint: EndpointStructure;
+  readonly route: RouteStructure;
+}
+
 /** One run of a sample at an engine. */
 interface SampleRun {
   readonly task: SampleTask;
@@ -64,15 +69,19 @@
    * Runs a sample, at other engines too where it is moved.
    *
    * @param task - The sample.
-   * @param endpoint - The first engine.
+   * @param start - The first engine, and the route of the lot.
    */
   async runSample(
     task: SampleTask,
-    endpoint: EndpointStructure,
+    { endpoint, route }: SampleStart,
   ): Promise<GenerationReport> {
     let engine = endpoint;
     for (let moves = 0;; moves++) {
-      const report = await this.#runOnce(task, engine, moves);
+      const report = await this.#runOnce(task, {
+        endpoint: engine,
+        moves,
+        urgency: getSampleUrgency(route.priority),
+      });
       const target = this.#takeTarget(task);
       const isMoved = report.end === "cancelled" && !this.#hasEnded;
       if (target === undefined || !isMoved) {
@@ -126,9 +135,9 @@
 
   async #runOnce(
     task: SampleTask,
-    endpoint: EndpointStructure,
-    moves: number,
+    terms: Pick<SampleRun, "endpoint" | "moves"> & { readonly urgency: number },
   ): Promise<GenerationReport> {
+    const { endpoint, moves, urgency } = terms;
     const run: SampleRun = {
       task,
       endpoint,
@@ -143,7 +152,7 @@
       lot: this.#lot.request,
       task,
       endpoint,
-      urgency: USUAL_URGENCY,
+      urgency,
       deadlineMs: RUN_BOUND_MS,
       signal: run.abort.signal,
     });
--- a/packages/edge/src/lots/shard_group.ts
+++ b/packages/edge/src/lots/shard_group.ts
@@ -22,6 +22,8 @@
 const OWNER_JOIN_EVERY_MS = 250;
 /** The same for a host that owns none; their number grows with the fleet. */
 const JOIN_EVERY_MS = 600;
+/** How long after its start a host joins as often as an owner, in milliseconds: when all hosts start at once, shards pass on for some seconds. */
+const STARTING_MS = 5_000;
 /** How long a small host leaves larger ones the time to join, in milliseconds. */
 const SMALL_HOST_DELAY_MS = 2_000;
 /** How long a host runs its lots on while it can't reach the group, in milliseconds. */
@@ -119,6 +121,7 @@
   async #run(): Promise<void> {
     const { clock, logger } = this.#options;
     const { signal } = this.#stopping;
+    const startedAtMs = clock.getMonotonicMs();
     while (!signal.aborted) {
       try {
         if (await this.#shouldJoin()) {
@@ -130,8 +133,11 @@
         }
         logger.error("group-join-failed", error);
       }
+      const isStarting = clock.getMonotonicMs() - startedAtMs < STARTING_MS;
       await clock.sleep(
-        this.#owned.size > 0 ? OWNER_JOIN_EVERY_MS : JOIN_EVERY_MS,
+        isStarting || this.#owned.size > 0
+          ? OWNER_JOIN_EVERY_MS
+          : JOIN_EVERY_MS,
         signal,
       );
     }
