--- a/packages/control/src/membership/duty_share.ts
+++ b/packages/control/src/membership/duty_share.ts
@@ -13,6 +13,13 @@
 /** With fewer members than this, small hosts take duties too. */
 const ENOUGH_MEMBERS = 3;
 
+/** How often a host that holds duties says that it is there, in milliseconds; there are no more such hosts than duties. */
+const HOLDER_JOIN_EVERY_MS = 250;
+/** The same for a host that holds none; their number grows with the fleet. */
+const JOIN_EVERY_MS = 600;
+/** How long after its start a host joins as often as a holder, in milliseconds: when all hosts start at once, duties pass on for some seconds. */
+const STARTING_MS = 5_000;
+
 /** What a host knows when it decides. */
 export interface DutyShareInput {
   /** The processor time of this host, in cores. */
@@ -36,3 +43,28 @@
   const { cores, isMember, members } = input;
   return isMember || cores >= LARGE_HOST_CORES || members < ENOUGH_MEMBERS;
 }
+
+/** What the pause between two joins follows from. */
+export interface JoinPauseInput {
+  readonly holdsDuties: boolean;
+  /** How long ago this host was started, in milliseconds. */
+  readonly sinceStartMs: number;
+}
+
+/**
+ * Returns the pause between two joins of a host, in milliseconds. Duties pass
+ * on with the joins, so that those who hold them, and hosts that have just
+ * started, join more often.
+ *
+ * @example
+ * ```ts
+ * const pauseMs = getJoinPause({ holdsDuties: true, sinceStartMs: 60_000 });
+ * ```
+ * @param input - What the pause follows from.
+ */
+export function getJoinPause(input: JoinPauseInput): number {
+  const { holdsDuties, sinceStartMs } = input;
+  return holdsDuties || sinceStartMs < STARTING_MS
+    ? HOLDER_JOIN_EVERY_MS
+    : JOIN_EVERY_MS;
+}
--- a/packages/edge/src/lots/shard_group.ts
+++ b/packages/edge/src/lots/shard_group.ts
@@ -9,7 +9,10 @@
 } from "@briarhill/common/log/shared_log";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
-import { shouldTakeDuties } from "@briarhill/control/membership/duty_share";
+import {
+  getJoinPause,
+  shouldTakeDuties,
+} from "@briarhill/control/membership/duty_share";
 import { LOT_WORK_TOPIC } from "@briarhill/platform/names/topics";
 import { OpenLots } from "@briarhill/rollout/ledger/open_lots";
 import { FollowedPartition } from "../log/followed_partition.ts";
@@ -18,12 +21,6 @@
 export const LOT_GROUP = "lot-owners";
 /** How long a silent host keeps its shards, in milliseconds: a dead owner's lots wait this long. */
 const GROUP_TTL_MS = 1_200;
-/** How often a host that owns shards says that it is there, in milliseconds; there are no more such hosts than shards. */
-const OWNER_JOIN_EVERY_MS = 250;
-/** The same for a host that owns none; their number grows with the fleet. */
-const JOIN_EVERY_MS = 600;
-/** How long after its start a host joins as often as an owner, in milliseconds: when all hosts start at once, shards pass on for some seconds. */
-const STARTING_MS = 5_000;
 /** How long a small host leaves larger ones the time to join, in milliseconds. */
 const SMALL_HOST_DELAY_MS = 2_000;
 /** How long a host runs its lots on while it can't reach the group, in milliseconds. */
@@ -133,13 +130,11 @@
         }
         logger.error("group-join-failed", error);
       }
-      const isStarting = clock.getMonotonicMs() - startedAtMs < STARTING_MS;
-      await clock.sleep(
-        isStarting || this.#owned.size > 0
-          ? OWNER_JOIN_EVERY_MS
-          : JOIN_EVERY_MS,
-        signal,
-      );
+      const pauseMs = getJoinPause({
+        holdsDuties: this.#owned.size > 0,
+        sinceStartMs: clock.getMonotonicMs() - startedAtMs,
+      });
+      await clock.sleep(pauseMs, signal);
     }
   }
 
