Rank all samples equally again

Cause: an engine puts running requests back for more urgent ones, so that the rank by priority cut into long samples that hold a whole step up.

Ruled out: a gain elsewhere that pays for it.

--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -132,7 +132,7 @@
     route: RouteStructure,
   ): Promise<void> {
     task.phase = "generating";
-    const report = await this.#runs.runSample(task, { endpoint, route });
+    const report = await this.#runs.runSample(task, endpoint);
     this.#applyReport(task, report, route);
     this.advance();
   }
--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -4,7 +4,6 @@
  */
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
-import { getSampleUrgency } from "@briarhill/rollout/dispatch/sample_urgency";
 import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
 import type { RunningSample } from "@briarhill/rollout/dispatch/straggler_policy";
 import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
@@ -23,6 +22,9 @@
 /** The longest run of a sample at one engine, in milliseconds. */
 const RUN_BOUND_MS = 15_000;
 
+/** The urgency of requests that say nothing; a lower one would put runs of others back. */
+const USUAL_URGENCY = 5;
+
 /** What runs need. */
 export interface RunningSamplesOptions {
   readonly clock: Clock;
@@ -32,12 +34,6 @@
   readonly metrics: HostMetrics;
 }
 
-/** Where a sample begins to run. */
-export interface SampleStart {
-  readonly endpoint: EndpointStructure;
-  readonly route: RouteStructure;
-}
-
 /** One run of a sample at an engine. */
 interface SampleRun {
   readonly task: SampleTask;
@@ -69,19 +65,15 @@
    * Runs a sample, at other engines too where it is moved.
    *
    * @param task - The sample.
-   * @param start - The first engine, and the route of the lot.
+   * @param endpoint - The first engine.
    */
   async runSample(
     task: SampleTask,
-    { endpoint, route }: SampleStart,
+    endpoint: EndpointStructure,
   ): Promise<GenerationReport> {
     let engine = endpoint;
     for (let moves = 0;; moves++) {
-      const report = await this.#runOnce(task, {
-        endpoint: engine,
-        moves,
-        urgency: getSampleUrgency(route.priority),
-      });
+      const report = await this.#runOnce(task, engine, moves);
       const target = this.#takeTarget(task);
       const isMoved = report.end === "cancelled" && !this.#hasEnded;
       if (target === undefined || !isMoved) {
@@ -135,9 +127,9 @@
 
   async #runOnce(
     task: SampleTask,
-    terms: Pick<SampleRun, "endpoint" | "moves"> & { readonly urgency: number },
+    endpoint: EndpointStructure,
+    moves: number,
   ): Promise<GenerationReport> {
-    const { endpoint, moves, urgency } = terms;
     const run: SampleRun = {
       task,
       endpoint,
@@ -152,7 +144,7 @@
       lot: this.#lot.request,
       task,
       endpoint,
-      urgency,
+      urgency: USUAL_URGENCY,
       deadlineMs: RUN_BOUND_MS,
       signal: run.abort.signal,
     });
