Read, log and count the request limits that endpoints state

Cause: no log line tells when a host learns of an endpoint's limit, nor what it sends there; scoring calls named no endpoint.

Change: the limit is decoded from each response; log events endpoint-limit-set, -ended, -invalid and -use (at most one a second for each endpoint), counters limited_requests_total and limit_changes_total, the endpoint in sample-scored. Nothing decides by it yet.

--- a/packages/edge/src/calls/call_forwarder.ts
+++ b/packages/edge/src/calls/call_forwarder.ts
@@ -13,6 +13,7 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { Buffer } from "node:buffer";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
+import type { RequestPurpose } from "../limits/observed_limits.ts";
 import type { EndpointSender } from "./endpoint_sender.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import { ForwardedCall } from "./forwarded_call.ts";
@@ -29,6 +30,7 @@
 /** A caller's request to forward to a plain service. */
 export interface ForwardRequest {
   readonly route: RouteStructure;
+  readonly purpose: RequestPurpose;
   readonly attemptId: string;
   readonly method: string;
   readonly path: string;
@@ -138,6 +140,7 @@
     const remainingMs = request.deadlineMs - startMs - RESPONSE_RETURN_MS;
     const attemptAnswer = await sender.send({
       endpoint,
+      purpose: request.purpose,
       attemptId: request.attemptId,
       method: request.method,
       path: request.path,
--- a/packages/edge/src/calls/endpoint_sender.ts
+++ b/packages/edge/src/calls/endpoint_sender.ts
@@ -4,8 +4,6 @@
  * request must never be returned.
  * @module
  */
-import { PortError, type PortFault } from "@briarhill/common/errors/errors";
-import { createPortError } from "@briarhill/common/errors/port_error";
 import type {
   HttpResponse,
   HttpResponseHead,
@@ -20,7 +18,15 @@
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { EndpointOutcome } from "@briarhill/routing/endpoints/endpoint_load";
 import type { Buffer } from "node:buffer";
+import {
+  createMalformedError,
+  getEndpointOutcome,
+} from "./endpoint_failure.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
+import type {
+  ObservedLimits,
+  RequestPurpose,
+} from "../limits/observed_limits.ts";
 
 /** About ten round trips between failure domains; a connection that takes longer is not expected to be established. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -35,20 +41,15 @@
 export interface EndpointSenderOptions {
   readonly clock: Clock;
   readonly directory: EndpointDirectory;
+  readonly limits: ObservedLimits;
   /** The maximum size of a response that is buffered completely, in bytes. */
   readonly maxAnswerBytes: number;
 }
 
-/** Faults that are expected to affect the next requests to the endpoint as well. */
-const UNREACHABLE_FAULTS: ReadonlySet<PortFault> = new Set([
-  "silent",
-  "refused",
-  "oversized",
-]);
-
 /** A request to one endpoint. */
 export interface EndpointRequest {
   readonly endpoint: EndpointStructure;
+  readonly purpose: RequestPurpose;
   /** The id that the response of the endpoint must echo. */
   readonly attemptId: string;
   readonly method: string;
@@ -137,7 +138,7 @@
       outcome = isRefused ? "refused" : "served";
       return result;
     } catch (error) {
-      outcome = getOutcome(error, request.signal);
+      outcome = getEndpointOutcome(error, request.signal);
       throw error;
     } finally {
       load.removeRequest(outcome, clock.getMonotonicMs());
@@ -163,13 +164,19 @@
     timeoutMs: number,
   ): Promise<HttpResponse> {
     const { address } = endpoint;
+    const { clock, limits } = this.#options;
+    limits.addRequest(endpoint, "control");
+    const sent = {
+      sentAtMs: clock.getMonotonicMs(),
+      purpose: "control" as const,
+    };
     const answer = await this.#sender.send({
       address,
       ...call,
       headers: ["Host", `${address.hostname}:${address.port}`, ...call.headers],
       headTimeoutMs: timeoutMs,
     }, timeoutMs);
-    this.#applyHead(endpoint, decodeEndpointResponse(answer));
+    this.#applyHead(endpoint, decodeEndpointResponse(answer), sent);
     return answer;
   }
 
@@ -179,7 +186,10 @@
   }
 
   async #open(request: EndpointRequest): Promise<CheckedHead> {
-    const { endpoint, attemptId, timeoutMs, ...rest } = request;
+    const { endpoint, attemptId, timeoutMs, purpose, ...rest } = request;
+    const { clock, limits } = this.#options;
+    limits.addRequest(endpoint, purpose);
+    const sent = { sentAtMs: clock.getMonotonicMs(), purpose };
     const head = await this.#sender.open({
       ...rest,
       address: endpoint.address,
@@ -193,7 +203,7 @@
       request.signal.removeEventListener("abort", destroyStream);
     });
     const answer = decodeEndpointResponse(head);
-    this.#applyHead(endpoint, answer);
+    this.#applyHead(endpoint, answer, sent);
     if (answer.attemptId !== attemptId && !answer.isOtherEndpoint) {
       head.stream.destroy();
       throw createMalformedError(
@@ -205,32 +215,17 @@
   }
 
   /** Ignores a response of another endpoint at the same address, as it says nothing about this one. */
-  #applyHead(endpoint: EndpointStructure, answer: EndpointResponseHead): void {
-    if (answer.isLeaving && !answer.isOtherEndpoint) {
+  #applyHead(
+    endpoint: EndpointStructure,
+    answer: EndpointResponseHead,
+    sent: { readonly sentAtMs: number; readonly purpose: RequestPurpose },
+  ): void {
+    if (answer.isOtherEndpoint) {
+      return;
+    }
+    if (answer.isLeaving) {
       this.#options.directory.setLeaving(endpoint);
     }
+    this.#options.limits.applyResponse(endpoint, answer.limit, sent);
   }
 }
-
-function createMalformedError(
-  { endpoint, path }: EndpointRequest,
-  found: string,
-): PortError {
-  return createPortError(`endpoint "${endpoint.id}" sent ${found}`, {
-    port: "endpoint",
-    operation: path,
-    fault: "malformed",
-    outcome: "unknown",
-  });
-}
-
-function getOutcome(
-  error: unknown,
-  signal: AbortSignal,
-): EndpointOutcome | "cancelled" {
-  if (signal.aborted) {
-    return "cancelled";
-  }
-  const fault = error instanceof PortError ? error.fault : "reset";
-  return UNREACHABLE_FAULTS.has(fault) ? "unreachable" : "broken";
-}
--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -68,6 +68,7 @@
     const callerDeadlineMs = arrivedAtMs + head.deadlineMs;
     const report = await forwarder.forward({
       route,
+      purpose: "call",
       attemptId: head.attemptId,
       method: request.method ?? "GET",
       path: request.url ?? "/",
@@ -179,6 +180,7 @@
       remainingMs,
       request: {
         endpoint,
+        purpose: "stream",
         attemptId: head.attemptId,
         method: request.method ?? "GET",
         path: request.url ?? "/",
--- /dev/null
+++ b/packages/edge/src/limits/observed_limits.ts
@@ -0,0 +1,156 @@
+/**
+ * Holds the limits that this host knows, and logs and counts how they are used.
+ * @module
+ */
+import type { EndpointId } from "@briarhill/common/ids/ids";
+import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
+import {
+  type EndpointIncarnation,
+  EndpointLimits,
+  type LimitChange,
+} from "@briarhill/routing/limits/endpoint_limits";
+import type {
+  EndpointLimit,
+  StatedLimit,
+} from "@briarhill/routing/limits/request_limit";
+import type { HostMetrics } from "../observe/host_metrics.ts";
+
+/** The minimum interval between two log lines about the use of one limit, in milliseconds. */
+const USE_LOG_INTERVAL_MS = 1_000;
+
+/** What a request to an endpoint is for. */
+export type RequestPurpose =
+  | "call"
+  | "stream"
+  | "scoring"
+  | "sample"
+  | "control";
+
+/** Options of {@link ObservedLimits}. */
+export interface ObservedLimitsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: HostMetrics;
+}
+
+interface LimitUse {
+  readonly sinceMs: number;
+  readonly sent: Record<string, number>;
+}
+
+/** The limits that this host knows and its use of them. */
+export class ObservedLimits {
+  readonly #options: ObservedLimitsOptions;
+  readonly #limits = new EndpointLimits();
+  readonly #uses = new Map<EndpointId, LimitUse>();
+
+  constructor(options: ObservedLimitsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Returns the limit of an endpoint, or undefined if it has none.
+   *
+   * @param endpoint - The endpoint.
+   */
+  getLimit(endpoint: EndpointIncarnation): EndpointLimit | undefined {
+    return this.#limits.getLimit(endpoint);
+  }
+
+  /**
+   * Applies the limit that a response states and returns whether it is new or
+   * differs from the known one.
+   *
+   * @param endpoint - The endpoint that sent the response.
+   * @param stated - The limit that the response states.
+   * @param request - When the request was sent, on the monotonic clock, and what it was for.
+   */
+  applyResponse(
+    endpoint: EndpointIncarnation,
+    stated: StatedLimit,
+    { sentAtMs, purpose }: {
+      readonly sentAtMs: number;
+      readonly purpose: RequestPurpose;
+    },
+  ): LimitChange {
+    const { logger, clock } = this.#options;
+    if (stated.kind === "invalid") {
+      logger.warn("endpoint-limit-invalid", {
+        endpoint: endpoint.id,
+        value: stated.text,
+        source: purpose,
+      });
+    }
+    const nowMs = clock.getMonotonicMs();
+    const ageMs = this.#limits.getAgeMs(endpoint.id, nowMs);
+    const change = this.#limits.applyResponse(endpoint, stated, {
+      sentAtMs,
+      nowMs,
+    });
+    if (change === "set" && stated.kind === "rate") {
+      this.#logSet(endpoint.id, stated.ratePerS, purpose);
+    }
+    if (change === "ended") {
+      this.#uses.delete(endpoint.id);
+      this.#options.metrics.addLimitChange("ended");
+      logger.info("endpoint-limit-ended", {
+        endpoint: endpoint.id,
+        ageMs: Math.round(ageMs),
+        source: purpose,
+      });
+    }
+    return change;
+  }
+
+  /**
+   * Counts a request that is about to be sent.
+   *
+   * @param endpoint - The endpoint that receives the request.
+   * @param purpose - What the request is for.
+   */
+  addRequest(endpoint: EndpointIncarnation, purpose: RequestPurpose): void {
+    const limit = this.#limits.getLimit(endpoint);
+    if (limit === undefined) {
+      return;
+    }
+    const { clock, metrics } = this.#options;
+    metrics.addLimitedRequest(purpose);
+    const nowMs = clock.getMonotonicMs();
+    const use = this.#uses.get(endpoint.id) ?? { sinceMs: nowMs, sent: {} };
+    this.#uses.set(endpoint.id, use);
+    use.sent[purpose] = (use.sent[purpose] ?? 0) + 1;
+    if (nowMs - use.sinceMs >= USE_LOG_INTERVAL_MS) {
+      this.#logUse(limit, use, nowMs);
+    }
+  }
+
+  /**
+   * Removes the limits of endpoints that no longer exist.
+   *
+   * @param ids - The endpoints' IDs.
+   */
+  removeLimits(ids: readonly EndpointId[]): void {
+    this.#limits.removeLimits(ids);
+    ids.forEach((id) => this.#uses.delete(id));
+  }
+
+  #logSet(endpoint: EndpointId, ratePerS: number, source: string): void {
+    const { logger, metrics } = this.#options;
+    metrics.addLimitChange("set");
+    logger.info("endpoint-limit-set", { endpoint, ratePerS, source });
+  }
+
+  #logUse(limit: EndpointLimit, use: LimitUse, nowMs: number): void {
+    const { endpoint, ratePerS, confirmedAtMs } = limit;
+    this.#options.logger.info("endpoint-limit-use", {
+      endpoint,
+      ratePerS,
+      ageMs: Math.round(this.#limits.getAgeMs(endpoint, nowMs)),
+      confirmedMs: Math.round(nowMs - confirmedAtMs),
+      periodMs: Math.round(nowMs - use.sinceMs),
+      ...use.sent,
+    });
+    this.#uses.set(endpoint, { sinceMs: nowMs, sent: {} });
+  }
+}
--- a/packages/edge/src/lots/sample_generation.ts
+++ b/packages/edge/src/lots/sample_generation.ts
@@ -54,6 +54,7 @@
       ...call,
       body: call.body ?? Buffer.alloc(0),
       endpoint,
+      purpose: "sample",
       attemptId: task.request.id,
       timeoutMs: EVENT_TIMEOUT_MS,
       signal,
--- a/packages/edge/src/lots/sample_scorer.ts
+++ b/packages/edge/src/lots/sample_scorer.ts
@@ -9,7 +9,7 @@
 import type { ScoringRequest } from "@briarhill/rollout/ledger/lot_request";
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import { Buffer } from "node:buffer";
-import type { CallForwarder } from "../calls/call_forwarder.ts";
+import type { CallForwarder, ForwardReport } from "../calls/call_forwarder.ts";
 import type { CallOutcome } from "../calls/call_outcome.ts";
 
 const FIRST_FAILURE_STATUS = 300;
@@ -50,6 +50,7 @@
     const deadlineMs = startMs + route.timeoutMs;
     const { outcome, attempts, failures } = await this.#forwarder.forward({
       route,
+      purpose: "scoring",
       attemptId: scoring.id,
       method: call.method,
       path: call.path,
@@ -58,14 +59,22 @@
       deadlineMs,
       signal,
     });
-    const signature = getSignature(outcome);
-    const report = {
+    const tookMs = Math.round(this.#clock.getMonotonicMs() - startMs);
+    return this.#createReport({ outcome, attempts, failures }, {
       scoring: scoring.id,
-      attempts,
-      tookMs: Math.round(this.#clock.getMonotonicMs() - startMs),
-    };
-    if (signature !== "") {
-      this.#logger.info("sample-scored", report);
+      tookMs,
+    });
+  }
+
+  #createReport(
+    { outcome, attempts, failures }: ForwardReport,
+    fields: { readonly scoring: string; readonly tookMs: number },
+  ): ScoringReport {
+    const signature = getSignature(outcome);
+    const report = { ...fields, attempts };
+    if (signature !== "" && outcome.kind === "answered") {
+      const { endpoint } = outcome;
+      this.#logger.info("sample-scored", { ...report, endpoint });
       return { signature, failures: 0 };
     }
     this.#logger.warn("scoring-failed", {
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -7,6 +7,7 @@
 import { CallForwarder } from "../calls/call_forwarder.ts";
 import { EndpointSender } from "../calls/endpoint_sender.ts";
 import { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
+import { ObservedLimits } from "../limits/observed_limits.ts";
 import type { HostContext } from "./host_context.ts";
 import { PublishedState } from "./published_state.ts";
 
@@ -16,6 +17,7 @@
 /** The components of a host that send requests to endpoints. */
 export interface ServingComponents {
   readonly directory: EndpointDirectory;
+  readonly limits: ObservedLimits;
   readonly published: PublishedState;
   readonly sender: EndpointSender;
   readonly forwarder: CallForwarder;
@@ -54,9 +56,11 @@
     ...options,
     directory,
   });
+  const limits = new ObservedLimits(context);
   const sender = new EndpointSender({
     clock,
     directory,
+    limits,
     maxAnswerBytes: settings.memoryBytes / ANSWER_MEMORY_DIVISOR,
   });
   const forwarder = new CallForwarder({
@@ -65,5 +69,5 @@
     sender,
     failureDomain: settings.failureDomain,
   });
-  return { directory, published, sender, forwarder };
+  return { directory, limits, published, sender, forwarder };
 }
--- a/packages/edge/src/observe/host_metrics.ts
+++ b/packages/edge/src/observe/host_metrics.ts
@@ -65,6 +65,24 @@
     this.#counters.addOne("orders_total", reply);
   }
 
+  /**
+   * Counts a request to an endpoint that has a limit.
+   *
+   * @param purpose - What the request is for, such as "scoring".
+   */
+  addLimitedRequest(purpose: string): void {
+    this.#counters.addOne("limited_requests_total", purpose);
+  }
+
+  /**
+   * Counts a change of an endpoint's limit.
+   *
+   * @param change - "set" or "ended".
+   */
+  addLimitChange(change: string): void {
+    this.#counters.addOne("limit_changes_total", change);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   formatAll(): string {
     return this.#counters.formatCounters() +
--- a/packages/edge/test/calls/sender_fixture.ts
+++ b/packages/edge/test/calls/sender_fixture.ts
@@ -8,6 +8,8 @@
   EndpointSender,
 } from "../../src/calls/endpoint_sender.ts";
 import { EndpointDirectory } from "../../src/endpoints/endpoint_directory.ts";
+import { ObservedLimits } from "../../src/limits/observed_limits.ts";
+import { HostMetrics } from "../../src/observe/host_metrics.ts";
 
 export const MAX_ANSWER_BYTES = 1_048_576;
 export const TIMEOUT_MS = 600;
@@ -25,12 +27,18 @@
     random: new SeededRandom(1),
     getLastFailureAtMs: () => -Infinity,
   });
+  const limits = new ObservedLimits({
+    clock,
+    logger: Logger.create({}),
+    metrics: new HostMetrics(),
+  });
   const sender = new EndpointSender({
     clock,
     directory,
+    limits,
     maxAnswerBytes: MAX_ANSWER_BYTES,
   });
-  return { clock, directory, sender };
+  return { clock, directory, limits, sender };
 }
 
 export function createEndpoint(port: number): EndpointStructure {
@@ -51,6 +59,7 @@
 export function createRequest(endpoint: EndpointStructure): EndpointRequest {
   return {
     endpoint,
+    purpose: "call",
     attemptId: "a",
     method: "POST",
     path: "/",
--- a/packages/platform/src/ingress/endpoint_response.ts
+++ b/packages/platform/src/ingress/endpoint_response.ts
@@ -3,17 +3,20 @@
  * @module
  */
 import type { HttpResponseHead } from "@briarhill/common/http/http_exchange";
+import type { StatedLimit } from "@briarhill/routing/limits/request_limit";
 import type { IncomingHttpHeaders } from "node:http";
 import {
   ATTEMPT_ID,
   NOT_EXECUTED,
   SERVER_LEAVING,
+  SERVER_LIMIT,
   SERVER_LOAD,
   SIGNATURE,
   WEIGHT_VERSIONS,
 } from "../names/headers.ts";
 
 const LEAVING_VALUE = "1";
+const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 
 /** The decoded status and headers of an endpoint's response. */
 export interface EndpointResponseHead {
@@ -26,6 +29,8 @@
   readonly isOtherEndpoint: boolean;
   /** Whether the endpoint is about to stop and accepts no new requests. */
   readonly isLeaving: boolean;
+  /** The request rate that the endpoint accepts from all hosts together. */
+  readonly limit: StatedLimit;
   /** Proves that an endpoint produced the response; empty if missing. */
   readonly signature: string;
   /** Number of running and queued requests, or undefined if not reported. */
@@ -54,6 +59,7 @@
       headers[NOT_EXECUTED.toLowerCase()] !== undefined,
     isOtherEndpoint: status === 421,
     isLeaving: getText(headers, SERVER_LEAVING) === LEAVING_VALUE,
+    limit: decodeLimit(headers[SERVER_LIMIT.toLowerCase()]),
     signature: getText(headers, SIGNATURE),
     requests: decodeRequestCount(getText(headers, SERVER_LOAD)),
     version: decodeVersion(getText(headers, WEIGHT_VERSIONS)),
@@ -75,6 +81,20 @@
   return Number.isFinite(sum) ? sum : undefined;
 }
 
+/** Accepts only a decimal number; repeated headers arrive as one text with a comma and are invalid. */
+function decodeLimit(
+  value: string | readonly string[] | undefined,
+): StatedLimit {
+  if (value === undefined) {
+    return { kind: "none" };
+  }
+  const text = String(value).trim();
+  const ratePerS = Number(text);
+  return DECIMAL_NUMBER.test(text) && Number.isFinite(ratePerS)
+    ? { kind: "rate", ratePerS }
+    : { kind: "invalid", text };
+}
+
 function decodeVersion(text: string): number | undefined {
   const version = Number(text);
   return text !== "" && Number.isSafeInteger(version) ? version : undefined;
--- a/packages/platform/src/names/headers.ts
+++ b/packages/platform/src/names/headers.ts
@@ -19,6 +19,8 @@
 export const NOT_EXECUTED = "X-Briarhill-Not-Executed";
 /** Set to "1" in every response of an endpoint that is about to stop. */
 export const SERVER_LEAVING = "Server-Leaving";
+/** The request rate per second that the endpoint accepts from all hosts together; absent if it has no limit. */
+export const SERVER_LIMIT = "Server-Limit";
 /** Running requests, queued requests and slots of the endpoint. */
 export const SERVER_LOAD = "X-Briarhill-Server-Load";
 /** Maximum wait of a long-polling read, in milliseconds. */
