Add a failing test for endpoint limits that many hosts exceed together

Cause: each host sends an endpoint few requests, all hosts together far more than the rate that it states.

Ruled out: a test with one host, which a limit kept by each host alone passes.

Change: LimitMonitor of the endpoint stand-in states a limit and counts arrivals of all hosts; the test runs 8 hosts with two endpoints at 2 requests a second.

--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -11,9 +11,11 @@
   LAST_EVENT_ID,
   NOT_EXECUTED,
   SERVER_LEAVING,
+  SERVER_LIMIT,
   SIGNATURE,
   WEIGHT_VERSIONS,
 } from "@briarhill/platform/names/headers";
+import { LimitMonitor } from "./limit_monitor.ts";
 import { LeavingMonitor } from "./leaving_monitor.ts";
 import { ORDER_PATH, REPORT_PATH } from "@briarhill/platform/names/paths";
 import { Buffer } from "node:buffer";
@@ -70,6 +72,8 @@
    * that it is leaving.
    */
   readonly leaving = new LeavingMonitor();
+  /** States a request limit and checks that all hosts together keep it. */
+  readonly limit = new LimitMonitor();
   #startedAtMs = Date.now();
   readonly #server = createServer((request, response) => {
     void this.#handle(request, response);
@@ -106,6 +110,7 @@
   /** Restarts as a new incarnation under the same id. */
   startIncarnation(): void {
     this.leaving.clear();
+    this.limit.clearLimit();
     this.#startedAtMs = Date.now();
     this.#sequence = 0;
     this.#orderCount = 0;
@@ -153,6 +158,10 @@
     if (this.leaving.isLeaving) {
       response.setHeader(SERVER_LEAVING, "1");
     }
+    if (this.limit.text !== undefined) {
+      response.setHeader(SERVER_LIMIT, this.limit.text);
+    }
+    this.limit.addArrival();
     const expected = request.headers[EXPECTED_INSTANCE.toLowerCase()];
     if (expected !== undefined && expected !== this.options.id) {
       response.writeHead(421).end();
