Send calls to a tried endpoint without a limit before rejecting them; drop limits of removed endpoints

Cause: after the endpoint without a limit had rejected a call as full, only endpoints with limits were untried, and the call was rejected although it could be served 25 ms later. Limits of endpoints that were removed stayed in memory and in the shared log.

Ruled out: waiting for a permit in that case, which takes a slot from callers that have no other endpoint.

Change: untried endpoints with a limit are asked for a permit without waiting, then an endpoint without a limit is used again, paced as before. Removed endpoints are dropped from the host, the owner of the permits and the shared log. Listeners of decided requests are removed.

--- a/packages/edge/src/endpoints/endpoint_directory.ts
+++ b/packages/edge/src/endpoints/endpoint_directory.ts
@@ -20,6 +20,8 @@
   readonly random: SeededRandom;
   /** Returns when a read of the list last failed, on the monotonic clock. */
   readonly getLastFailureAtMs: () => number;
+  /** Called with the ids of endpoints that have been removed. */
+  readonly onRemoved: (ids: readonly string[]) => void;
 }
 
 /** The endpoints that may receive requests. */
@@ -124,6 +126,9 @@
     if (change === "removed" || change === "removal-pending") {
       logger.info(`endpoint-${change}`, { endpoint: id });
     }
+    if (change === "removed") {
+      this.#options.onRemoved([id]);
+    }
   }
 
   #removeExpired(): void {
@@ -134,5 +139,8 @@
       this.#options.logger.info("endpoint-removed", { endpoint: id })
     );
     this.endpointPicker.removeLoads(expired);
+    if (expired.length > 0) {
+      this.#options.onRemoved(expired);
+    }
   }
 }
--- a/packages/edge/src/limits/create_limit_components.ts
+++ b/packages/edge/src/limits/create_limit_components.ts
@@ -51,13 +51,12 @@
   const { failureDomain, storePartitions } = context.settings;
   const { log, peers, directory, getOwnership } = options;
   const getShard = (service: string) => hashText(service) % storePartitions;
-  const never = new AbortController().signal;
   const limits: ObservedLimits = new ObservedLimits({
     ...context,
     onChange: ({ service }, limit) =>
-      void permits.callOwner({ service, limits: [limit] }, never),
+      void permits.reportToOwner({ service, limits: [limit] }),
     onControlCall: ({ service, id }, known) =>
-      void permits.callOwner({ service, limits: known, use: id }, never),
+      void permits.reportToOwner({ service, limits: known, use: id }),
   });
   const sharedLimits = new SharedLimits({ ...context, log, limits });
   const permitOwner = new PermitOwner({
--- a/packages/edge/src/limits/endpoint_admission.ts
+++ b/packages/edge/src/limits/endpoint_admission.ts
@@ -93,29 +93,24 @@
   async admit(request: AdmissionRequest): Promise<Admission> {
     const { candidates, tried } = request;
     const untried = candidates.filter(({ id }) => !tried.has(id));
-    const unlimited = untried.filter((endpoint) => !this.isLimited(endpoint));
+    const untriedUnlimited = this.#listUnlimited(untried);
     if (request.isHedge) {
-      return this.#pick(unlimited);
+      return this.#pick(untriedUnlimited);
     }
     const pool = untried.length > 0 ? untried : candidates;
-    const free = pool.filter((endpoint) => !this.isLimited(endpoint));
+    const unlimited = untriedUnlimited.length > 0
+      ? untriedUnlimited
+      : this.#listUnlimited(candidates);
+    if (pool.length > 0 && unlimited.length === 0) {
+      return await this.#acquirePermit(request, pool, request.maxWaitMs);
+    }
     const pick = this.#pick(
       pool.filter((endpoint) => this.isAvailable(endpoint)),
     );
-    if (pick.kind === "admitted" && !this.isLimited(pick.endpoint)) {
-      return pick;
-    }
-    if (pool.length === 0) {
-      return { kind: "none" };
-    }
-    if (free.length === 0) {
-      return await this.#acquirePermit(request, pool, request.maxWaitMs);
-    }
-    if (pick.kind !== "admitted") {
-      return this.#pick(free);
-    }
-    const admission = await this.admitTo(pick.endpoint, request);
-    return admission.kind === "admitted" ? admission : this.#pick(free);
+    const admission = pick.kind === "admitted"
+      ? await this.admitTo(pick.endpoint, request)
+      : pick;
+    return admission.kind === "admitted" ? admission : this.#pick(unlimited);
   }
 
   /**
@@ -139,6 +134,12 @@
     }
   }
 
+  #listUnlimited(
+    endpoints: readonly EndpointStructure[],
+  ): readonly EndpointStructure[] {
+    return endpoints.filter((endpoint) => !this.isLimited(endpoint));
+  }
+
   #pick(candidates: readonly EndpointStructure[]): Admission {
     const { directory, clock, failureDomain } = this.#options;
     const endpoint = directory.endpointPicker.pickEndpoint({
--- a/packages/edge/src/limits/permit_client.ts
+++ b/packages/edge/src/limits/permit_client.ts
@@ -83,6 +83,15 @@
     return { kind: "rejected", retryAfterMs: NO_OWNER_RETRY_MS };
   }
 
+  /**
+   * Sends a report to the owner of a service's permits; a report that reaches no owner is dropped.
+   *
+   * @param call - The call, without a request for a permit.
+   */
+  async reportToOwner(call: Omit<PermitCall, "request">): Promise<void> {
+    await this.callOwner(call, new AbortController().signal);
+  }
+
   /** Closes all connections to other hosts. */
   close(): void {
     this.#sender.close();
--- a/packages/edge/src/limits/permit_owner.ts
+++ b/packages/edge/src/limits/permit_owner.ts
@@ -4,6 +4,7 @@
  * it still owns the shard, another host may do so as well, and it grants half.
  * @module
  */
+import type { EndpointId } from "@briarhill/common/ids/ids";
 import { InputError } from "@briarhill/common/errors/errors";
 import { readBody } from "@briarhill/common/http/body_reader";
 import type { Logger } from "@briarhill/common/logging/logger";
@@ -124,6 +125,26 @@
     }
   }
 
+  /**
+   * Removes the limits of endpoints that no longer exist.
+   *
+   * @param ids - The endpoints' IDs.
+   */
+  removeEndpoints(ids: readonly EndpointId[]): void {
+    for (const [service, permits] of this.#services) {
+      for (const endpoint of ids) {
+        if (permits.removeEndpoint(endpoint)) {
+          this.#options.onLimitChanged(service, {
+            endpoint,
+            startedAtMs: 0,
+            ratePerS: undefined,
+            ageMs: 0,
+          });
+        }
+      }
+    }
+  }
+
   /** Rejects all waiting requests. */
   close(): void {
     this.#services.forEach((permits) => permits.close());
--- a/packages/edge/src/limits/service_permits.ts
+++ b/packages/edge/src/limits/service_permits.ts
@@ -123,14 +123,26 @@
       return Promise.resolve({ kind: "granted", endpoint: free });
     }
     const id = String(this.#nextId++);
-    return new Promise((resolve) => {
+    const decided = new AbortController();
+    signal.addEventListener("abort", () => this.#removeRequest(id), {
+      once: true,
+      signal: decided.signal,
+    });
+    return new Promise<PermitReply | undefined>((resolve) => {
       this.#waiting.set(id, resolve);
-      signal.addEventListener("abort", () => this.#removeRequest(id), {
-        once: true,
-      });
       const nowMs = this.#clock.getMonotonicMs();
       this.#deliver(this.#queue.addRequest({ ...request, id }, nowMs));
-    });
+    }).finally(() => decided.abort());
+  }
+
+  /**
+   * Removes an endpoint that no longer exists, and returns whether it had a limit.
+   *
+   * @param endpoint - The endpoint.
+   */
+  removeEndpoint(endpoint: EndpointId): boolean {
+    this.#queue.removeEndpoint(endpoint);
+    return this.#limits.delete(endpoint);
   }
 
   /** Ends all waiting requests without a decision, because another host owns the permits now. */
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -57,13 +57,17 @@
   const directory: EndpointDirectory = new EndpointDirectory({
     ...context,
     getLastFailureAtMs: () => published.endpointReadFailedAtMs,
+    onRemoved: (ids) => {
+      limitComponents.limits.removeLimits(ids);
+      limitComponents.permitOwner.removeEndpoints(ids);
+    },
   });
   const published: PublishedState = new PublishedState({
     ...context,
     ...options,
     directory,
   });
-  const limitComponents = createLimitComponents(context, {
+  const limitComponents: LimitComponents = createLimitComponents(context, {
     ...options,
     directory,
   });
--- a/packages/edge/test/calls/sender_fixture.ts
+++ b/packages/edge/test/calls/sender_fixture.ts
@@ -26,6 +26,7 @@
     logger: Logger.create({}),
     random: new SeededRandom(1),
     getLastFailureAtMs: () => -Infinity,
+    onRemoved: () => undefined,
   });
   const limits = new ObservedLimits({
     clock,
