Let the soak play limits of endpoints and judge them by what endpoints get

Ruled out: excusing hosts that were paused or restarted; the permits of one owner need no such excuse.

Change: a fault that states a limit, changes it once (a lower or higher rate, zero, a negative number, a word) and ends it; a check that all hosts together keep it in each 4 s after the first 3 s, control calls included.

--- a/packages/bench/src/soak/soak_checks.ts
+++ b/packages/bench/src/soak/soak_checks.ts
@@ -7,6 +7,7 @@
   ReceivedOrder,
 } from "@briarhill/fakes/platform/endpoint_stand_in";
 import type { LateAttempt } from "@briarhill/fakes/platform/leaving_monitor";
+import type { LimitOverrun } from "@briarhill/fakes/platform/limit_monitor";
 import type { LotResult } from "@briarhill/fakes/platform/trainer_calls";
 
 /** A promise that was broken, with the ids that show it. */
@@ -90,9 +91,16 @@
       readonly runs: readonly ReceivedAttempt[];
       readonly orders: readonly ReceivedOrder[];
       readonly leaving: { readonly lateRuns: readonly LateAttempt[] };
+      readonly limit: { readonly overruns: readonly LimitOverrun[] };
     }[],
   ): void {
-    for (const { runs, orders, leaving } of endpoints) {
+    for (const { runs, orders, leaving, limit } of endpoints) {
+      for (const { ratePerS, requests, allowed } of limit.overruns) {
+        this.#add(
+          "all hosts together keep the limit of an endpoint",
+          `${requests} requests in 4 s at ${ratePerS}/s, allowed ${allowed}`,
+        );
+      }
       for (const { attemptId, connection, afterMs } of leaving.lateRuns) {
         this.#add(
           "an endpoint that says it is leaving gets no new work",
--- a/packages/bench/src/soak/soak_faults.ts
+++ b/packages/bench/src/soak/soak_faults.ts
@@ -15,6 +15,15 @@
 const LINK_DELAY_MS = 40;
 /** How long a leaving endpoint goes on at least, in milliseconds; above the time in which hosts may still send to it. */
 const LEAVING_MS = 3_000;
+const STORE_MOODS = {
+  "store-busy": "busy",
+  "store-silent": "silent",
+  "store-lost": "lost",
+} as const;
+/** The limits that endpoints state, in requests a second. */
+const LIMITS = ["1", "3.5", "0", "12", "0.4", "-2", "soon"];
+/** How long an endpoint states one limit at least, in milliseconds; above the time in which hosts may still exceed it. */
+const LIMITED_MS = 4_000;
 
 /** Brings faults about, and undoes them after their time. */
 export class SoakFaults {
@@ -44,11 +53,9 @@
       case "pause":
         return await this.#suspendHost(target, forMs);
       case "store-busy":
-        return await this.#setMood("busy", forMs);
       case "store-silent":
-        return await this.#setMood("silent", forMs);
       case "store-lost":
-        return await this.#setMood("lost", forMs);
+        return await this.#setMood(STORE_MOODS[kind], forMs);
       case "store-refuses-host":
         return await this.#setMood("busy", forMs, this.#platform.getIp(target));
       case "engine-breaks":
@@ -56,6 +63,8 @@
         return await this.#runEndpointFault(kind, forMs, drawn);
       case "endpoint-leaves":
         return await this.#runLeaving(forMs, drawn);
+      case "endpoint-limited":
+        return await this.#runLimit(forMs, drawn);
       case "links-reset":
         return this.#platform.links.all.forEach((link) =>
           link.abortConnections()
@@ -102,6 +111,17 @@
     endpoint?.startIncarnation();
   }
 
+  /** The limit changes once while it is stated, and may be no rate. */
+  async #runLimit(forMs: number, target: number): Promise<void> {
+    const { endpoints } = this.#platform;
+    const { limit } = endpoints[target % endpoints.length] ?? {};
+    limit?.setLimit(LIMITS[target % LIMITS.length] ?? "1");
+    await sleep(LIMITED_MS + forMs);
+    limit?.setLimit(LIMITS[(target + forMs) % LIMITS.length] ?? "1");
+    await sleep(LIMITED_MS + forMs);
+    limit?.clearLimit();
+  }
+
   /** A host that was frozen or restarted need not know who is leaving. */
   #clearTold(): void {
     this.#platform.endpoints.forEach(({ leaving }) =>
--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -26,7 +26,8 @@
   | "link-slow"
   | "link-holds-requests"
   | "link-holds-answers"
-  | "endpoint-leaves";
+  | "endpoint-leaves"
+  | "endpoint-limited";
 
 const KINDS: readonly SoakFaultKind[] = [
   "kill",
@@ -49,6 +50,7 @@
   "link-holds-requests",
   "link-holds-answers",
   "endpoint-leaves",
+  "endpoint-limited",
 ];
 
 /** One fault. */
--- a/packages/bench/test/soak/soak_checks_test.ts
+++ b/packages/bench/test/soak/soak_checks_test.ts
@@ -22,6 +22,7 @@
 }
 
 const leaving = { lateRuns: [] };
+const limit = { overruns: [] };
 
 /** Each defect that is put in must be found as a breach of its promise. */
 function testDefect(
@@ -48,7 +49,7 @@
     checks.checkWhole(new Map([["l", 2]]));
     const orders = [createOrder("h", 1, 0), createOrder("i", 2, 3_000)];
     const runs = [{ attemptId: "c", path: "/", fromEvent: 0 }];
-    checks.checkEndpoints([{ runs, orders, leaving }]);
+    checks.checkEndpoints([{ runs, orders, leaving, limit }]);
     assert.deepEqual(checks.breaches, []);
   });
 
@@ -71,7 +72,7 @@
   testDefect("what was refused has not run", (checks) => {
     checks.checkCall({ id: "c", status: 503, body: "", signature: "" });
     const runs = [{ attemptId: "c", path: "/", fromEvent: 0 }];
-    checks.checkEndpoints([{ runs, orders: [], leaving }]);
+    checks.checkEndpoints([{ runs, orders: [], leaving, limit }]);
   });
   testDefect("an acknowledged lot is finished", (checks) => {
     checks.checkResults("l", [createResult("a")]);
@@ -79,15 +80,21 @@
   });
   testDefect("holders take turns slowly", (checks) => {
     const orders = [createOrder("h", 1, 0), createOrder("i", 2, 2_999)];
-    checks.checkEndpoints([{ runs: [], orders, leaving }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving, limit }]);
   });
   testDefect("two holders have two numbers", (checks) => {
     const orders = [createOrder("h", 1, 0), createOrder("i", 1, 4_000)];
-    checks.checkEndpoints([{ runs: [], orders, leaving }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving, limit }]);
   });
   testDefect("an order's number never falls", (checks) => {
     const orders = [createOrder("h", 2, 0), createOrder("i", 1, 4_000)];
-    checks.checkEndpoints([{ runs: [], orders, leaving }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving, limit }]);
+  });
+  testDefect("all hosts together keep the limit of an endpoint", (checks) => {
+    const overruns = [{ ratePerS: 1, requests: 12, allowed: 11 }];
+    checks.checkEndpoints([
+      { runs: [], orders: [], leaving, limit: { overruns } },
+    ]);
   });
   testDefect(
     "an endpoint that says it is leaving gets no new work",
@@ -98,7 +105,7 @@
         afterMs: 2_001,
       };
       checks.checkEndpoints([
-        { runs: [], orders: [], leaving: { lateRuns: [late] } },
+        { runs: [], orders: [], leaving: { lateRuns: [late] }, limit },
       ]);
     },
   );
--- a/packages/bench/test/soak/soak_plan_test.ts
+++ b/packages/bench/test/soak/soak_plan_test.ts
@@ -12,6 +12,6 @@
       assert.ok(atMs < 60_000 && target < 1_000);
       assert.ok(atMs >= (plan[index - 1]?.atMs ?? 0));
     }
-    assert.ok(new Set(plan.map(({ kind }) => kind)).size >= 16);
+    assert.ok(new Set(plan.map(({ kind }) => kind)).size >= 17);
   });
 });
--- a/packages/fakes/src/platform/limit_monitor.ts
+++ b/packages/fakes/src/platform/limit_monitor.ts
@@ -35,13 +35,15 @@
   }
 
   /**
-   * States a limit in all responses from now on.
+   * States a limit in all responses from now on. A change of the limit is in force at once.
    *
    * @param text - The value to state: a rate per second, or any text.
    */
   setLimit(text: string): void {
+    if (this.#text === undefined) {
+      this.#statedAtMs = Date.now();
+    }
     this.#text = text;
-    this.#statedAtMs = Date.now();
     this.#arrivalsMs = [];
     this.arrivals = 0;
   }
@@ -52,12 +54,6 @@
     this.#arrivalsMs = [];
   }
 
-  /** Forgets the requests so far, because a host was frozen, restarted or cut off and may exceed the limit now. */
-  clearArrivals(): void {
-    this.#statedAtMs = Date.now();
-    this.#arrivalsMs = [];
-  }
-
   /** Records a request, whatever it is for. */
   addArrival(): void {
     const ratePerS = Number(this.#text);
