Reject calls once the endpoints without a limit are full; count only attempts against limits

Control calls took up to 0.8 of 2 permits a second, so that engines with a limit got fewer samples.

Ruled out: retries at a fixed interval, as the number of hosts multiplies it.

Change: an endpoint without a limit that has just rejected or failed a request is no fallback; the call then waits for a permit as long as it can, or is rejected at once. A permit is asked for at any endpoint with a limit. Orders and reports need no permit and keep their interval; the stand-in's check counts attempts.

--- a/packages/edge/src/limits/create_limit_components.ts
+++ b/packages/edge/src/limits/create_limit_components.ts
@@ -55,8 +55,6 @@
     ...context,
     onChange: ({ service }, limit) =>
       void permits.reportToOwner({ service, limits: [limit] }),
-    onControlCall: ({ service, id }, known) =>
-      void permits.reportToOwner({ service, limits: known, use: id }),
   });
   const sharedLimits = new SharedLimits({ ...context, log, limits });
   const permitOwner = new PermitOwner({
--- a/packages/edge/src/limits/endpoint_admission.ts
+++ b/packages/edge/src/limits/endpoint_admission.ts
@@ -93,24 +93,26 @@
   async admit(request: AdmissionRequest): Promise<Admission> {
     const { candidates, tried } = request;
     const untried = candidates.filter(({ id }) => !tried.has(id));
-    const untriedUnlimited = this.#listUnlimited(untried);
+    const pool = untried.length > 0 ? untried : candidates;
+    const limited = pool.filter((endpoint) => this.isLimited(endpoint));
+    const usable = this.#listUsable(untried);
     if (request.isHedge) {
-      return this.#pick(untriedUnlimited);
+      return this.#pick(usable);
     }
-    const pool = untried.length > 0 ? untried : candidates;
-    const unlimited = untriedUnlimited.length > 0
-      ? untriedUnlimited
-      : this.#listUnlimited(candidates);
-    if (pool.length > 0 && unlimited.length === 0) {
-      return await this.#acquirePermit(request, pool, request.maxWaitMs);
+    if (limited.length === 0) {
+      return this.#pick(pool);
     }
-    const pick = this.#pick(
-      pool.filter((endpoint) => this.isAvailable(endpoint)),
-    );
-    const admission = pick.kind === "admitted"
-      ? await this.admitTo(pick.endpoint, request)
-      : pick;
-    return admission.kind === "admitted" ? admission : this.#pick(unlimited);
+    const fallback = usable.length > 0 ? usable : this.#listUsable(candidates);
+    if (fallback.length === 0) {
+      return await this.#acquirePermit(request, limited, request.maxWaitMs);
+    }
+    const available = limited.filter((endpoint) => this.isAvailable(endpoint));
+    const pick = this.#pick([...available, ...usable]);
+    if (pick.kind === "admitted" && !this.isLimited(pick.endpoint)) {
+      return pick;
+    }
+    const admission = await this.#acquirePermit(request, available, 0);
+    return admission.kind === "admitted" ? admission : this.#pick(fallback);
   }
 
   /**
@@ -134,10 +136,16 @@
     }
   }
 
-  #listUnlimited(
+  /** Lists the endpoints without a limit that have not just rejected or failed a request. */
+  #listUsable(
     endpoints: readonly EndpointStructure[],
   ): readonly EndpointStructure[] {
-    return endpoints.filter((endpoint) => !this.isLimited(endpoint));
+    const { directory, clock } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    return endpoints.filter((endpoint) =>
+      !this.isLimited(endpoint) &&
+      !directory.endpointPicker.getLoad(endpoint.id).isPaused(nowMs)
+    );
   }
 
   #pick(candidates: readonly EndpointStructure[]): Admission {
@@ -158,6 +166,9 @@
     endpoints: readonly EndpointStructure[],
     maxWaitMs: number,
   ): Promise<Admission> {
+    if (endpoints.length === 0) {
+      return { kind: "none" };
+    }
     const { permits, limits } = this.#options;
     const { service, flow, priority, signal } = request;
     const reply = await permits.callOwner({
@@ -170,10 +181,16 @@
         maxWaitMs,
       },
     }, signal);
-    return this.#applyReply(reply, endpoints);
+    const admission = this.#decodeReply(reply, endpoints);
+    if (admission.kind === "limited" && maxWaitMs === 0) {
+      const untilMs = this.#options.clock.getMonotonicMs() +
+        admission.retryAfterMs;
+      endpoints.forEach(({ id }) => this.#exhaustedUntilMs.set(id, untilMs));
+    }
+    return admission;
   }
 
-  #applyReply(
+  #decodeReply(
     reply: PermitReply,
     endpoints: readonly EndpointStructure[],
   ): Admission {
@@ -184,10 +201,6 @@
         : { kind: "admitted", endpoint };
     }
     const retryAfterMs = reply.kind === "rejected" ? reply.retryAfterMs : 0;
-    const untilMs = this.#options.clock.getMonotonicMs() + retryAfterMs;
-    if (endpoints.length === 1) {
-      endpoints.forEach(({ id }) => this.#exhaustedUntilMs.set(id, untilMs));
-    }
     return { kind: "limited", retryAfterMs };
   }
 }
--- a/packages/edge/src/limits/observed_limits.ts
+++ b/packages/edge/src/limits/observed_limits.ts
@@ -39,11 +39,6 @@
   readonly metrics: HostMetrics;
   /** Called when a response has set, changed or ended a limit. */
   readonly onChange: (endpoint: EndpointStructure, limit: LimitReport) => void;
-  /** Called when a control call is about to be sent to an endpoint with a limit. */
-  readonly onControlCall: (
-    endpoint: EndpointStructure,
-    limits: readonly LimitReport[],
-  ) => void;
 }
 
 interface LimitUse {
@@ -125,9 +120,6 @@
     }
     const { clock, metrics } = this.#options;
     metrics.addLimitedRequest(purpose);
-    if (purpose === "control") {
-      this.#options.onControlCall(endpoint, this.createReport(endpoint));
-    }
     const nowMs = clock.getMonotonicMs();
     const use = this.#uses.get(endpoint.id) ?? { sinceMs: nowMs, sent: {} };
     this.#uses.set(endpoint.id, use);
--- a/packages/edge/src/limits/permit_message.ts
+++ b/packages/edge/src/limits/permit_message.ts
@@ -1,6 +1,6 @@
 /**
  * Encodes the calls in which hosts ask the owner of a service's permits for a
- * permit, and report the limits that they know and what they sent without one.
+ * permit, and report the limits that they know.
  * @module
  */
 import type { EndpointId } from "@briarhill/common/ids/ids";
@@ -25,8 +25,6 @@
   readonly limits: readonly LimitReport[];
   /** The permit that the host asks for, if it asks for one. */
   readonly request?: Omit<PermitRequest, "id">;
-  /** An endpoint that receives a request without a permit. */
-  readonly use?: EndpointId;
 }
 
 /** The reply to a call: the decision on the request, or "noted" if the call asked for no permit. */
@@ -84,7 +82,6 @@
         maxWaitMs: request.getNumber("maxWaitMs"),
       },
     }),
-    ...(fields.hasField("use") ? { use: fields.getText("use") } : {}),
   };
 }
 
--- a/packages/edge/src/limits/permit_owner.ts
+++ b/packages/edge/src/limits/permit_owner.ts
@@ -79,9 +79,6 @@
         this.#options.onLimitChanged(call.service, limit);
       }
     }
-    if (call.use !== undefined) {
-      permits.addUse(call.use);
-    }
     if (call.request === undefined) {
       return { kind: "noted" };
     }
--- a/packages/edge/src/limits/service_permits.ts
+++ b/packages/edge/src/limits/service_permits.ts
@@ -96,15 +96,6 @@
     return true;
   }
 
-  /**
-   * Counts a request that is sent without a permit.
-   *
-   * @param endpoint - The endpoint that receives it.
-   */
-  addUse(endpoint: EndpointId): void {
-    this.#queue.addUse(endpoint, this.#clock.getMonotonicMs());
-  }
-
   /**
    * Resolves with the decision on a request, or undefined if these permits are closed first.
    *
--- a/packages/edge/src/weights/order_manager.ts
+++ b/packages/edge/src/weights/order_manager.ts
@@ -18,11 +18,9 @@
   encodeReportCall,
   type EngineReport,
 } from "@briarhill/platform/engine/engine_calls";
-import { computeReportIntervalMs } from "@briarhill/routing/limits/report_interval";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
 import type { EndpointSender } from "../calls/endpoint_sender.ts";
-import type { ObservedLimits } from "../limits/observed_limits.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { HostMetrics } from "../observe/host_metrics.ts";
 import type { LeaseManager } from "./lease_manager.ts";
@@ -33,6 +31,8 @@
 const IDLE_INTERVAL_MS = 300;
 /** Minimum duration of a load, in milliseconds; no report is requested earlier. */
 const MIN_LOAD_MS = 800;
+/** Interval between reports requested from an engine that is loading, in milliseconds. */
+const REPORT_INTERVAL_MS = 150;
 /** Timeout for a load, in milliseconds; after it the engine is compared with the named versions again. */
 const LOAD_TIMEOUT_MS = 6_000;
 /** How long an engine gets no orders after a call to it failed, in milliseconds. */
@@ -46,7 +46,6 @@
   readonly lease: LeaseManager;
   readonly directory: EndpointDirectory;
   readonly sender: EndpointSender;
-  readonly limits: ObservedLimits;
   readonly holder: string;
   readonly metrics: HostMetrics;
   readonly getTable: () => RouteTable | undefined;
@@ -216,8 +215,7 @@
         });
         return;
       }
-      const rate = this.#options.limits.getLimit(engine)?.ratePerS;
-      await clock.sleep(computeReportIntervalMs(rate), signal);
+      await clock.sleep(REPORT_INTERVAL_MS, signal);
     }
   }
 
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -158,7 +158,6 @@
     if (this.limit.text !== undefined) {
       response.setHeader(SERVER_LIMIT, this.limit.text);
     }
-    this.limit.addArrival();
     const expected = request.headers[EXPECTED_INSTANCE.toLowerCase()];
     if (expected !== undefined && expected !== this.options.id) {
       response.writeHead(421).end();
@@ -167,6 +166,7 @@
     } else if (request.url === ORDER_PATH) {
       this.#handleOrder(JSON.parse(body.toString()), response);
     } else {
+      this.limit.addArrival();
       await sleep(this.delayMs);
       await this.#runAttempt(request, body, response);
     }
--- a/packages/routing/src/limits/permit_queue.ts
+++ b/packages/routing/src/limits/permit_queue.ts
@@ -61,16 +61,6 @@
     this.#buckets.delete(endpoint);
   }
 
-  /**
-   * Counts a request that is sent without a permit, such as a control call.
-   *
-   * @param endpoint - The endpoint that receives it.
-   * @param nowMs - The current time.
-   */
-  addUse(endpoint: EndpointId, nowMs: number): void {
-    this.#buckets.get(endpoint)?.takeDebt(nowMs);
-  }
-
   /**
    * Adds a request and returns the decisions that follow. A request that gets no
    * decision waits.
--- a/packages/routing/src/limits/token_bucket.ts
+++ b/packages/routing/src/limits/token_bucket.ts
@@ -38,7 +38,7 @@
   }
 
   /**
-   * Returns the number of tokens, which is negative after `takeDebt`.
+   * Returns the number of tokens.
    *
    * @param nowMs - The current time.
    */
@@ -61,17 +61,6 @@
     return true;
   }
 
-  /**
-   * Takes a token for a request that is sent in any case. The debt is bounded, so that
-   * such requests can't keep all others away.
-   *
-   * @param nowMs - The current time.
-   */
-  takeDebt(nowMs: number): void {
-    this.#addTokens(nowMs);
-    this.#tokens = Math.max(-this.#capacity, this.#tokens - 1);
-  }
-
   /**
    * Returns the time at which the bucket has held `count` tokens, if none are taken until then.
    *
