Log a limit that is no rate once for each value

Cause: an endpoint that states such a value does so in every response, and each was a log line of its own: unbounded under load.

Ruled out: a counter in place of the line, which does not show the value.

Change: the line is written when the value differs from the endpoint's last one.

--- a/packages/edge/src/limits/observed_limits.ts
+++ b/packages/edge/src/limits/observed_limits.ts
@@ -51,6 +51,8 @@
   readonly #options: ObservedLimitsOptions;
   readonly #limits = new EndpointLimits();
   readonly #uses = new Map<EndpointId, LimitUse>();
+  /** The last value of each endpoint that is not a rate. */
+  readonly #invalidValues = new Map<EndpointId, string>();
 
   constructor(options: ObservedLimitsOptions) {
     this.#options = options;
@@ -81,15 +83,10 @@
       readonly purpose: RequestPurpose;
     },
   ): LimitChange {
-    const { logger, clock } = this.#options;
     if (stated.kind === "invalid") {
-      logger.warn("endpoint-limit-invalid", {
-        endpoint: endpoint.id,
-        value: stated.text,
-        source: purpose,
-      });
+      this.#logInvalid(endpoint.id, stated.text, purpose);
     }
-    const nowMs = clock.getMonotonicMs();
+    const nowMs = this.#options.clock.getMonotonicMs();
     const ageMs = this.#limits.getAgeMs(endpoint.id, nowMs);
     const change = this.#limits.applyResponse(endpoint, stated, {
       sentAtMs,
@@ -136,7 +133,10 @@
    */
   removeLimits(ids: readonly EndpointId[]): void {
     this.#limits.removeLimits(ids);
-    ids.forEach((id) => this.#uses.delete(id));
+    ids.forEach((id) => {
+      this.#uses.delete(id);
+      this.#invalidValues.delete(id);
+    });
   }
 
   /**
@@ -205,6 +205,18 @@
     });
   }
 
+  /** Logs a value once for each endpoint, however many responses state it. */
+  #logInvalid(endpoint: EndpointId, value: string, source: string): void {
+    if (this.#invalidValues.get(endpoint) !== value) {
+      this.#invalidValues.set(endpoint, value);
+      this.#options.logger.warn("endpoint-limit-invalid", {
+        endpoint,
+        value,
+        source,
+      });
+    }
+  }
+
   #logSet(endpoint: EndpointId, ratePerS: number, source: string): void {
     const { logger, metrics } = this.#options;
     metrics.addLimitChange("set");
