--- a/packages/fakes/src/platform/limit_monitor.ts
+++ b/packages/fakes/src/platform/limit_monitor.ts
@@ -40,7 +40,7 @@
    * @param text - The value to state: a rate per second, or any text.
    */
   setLimit(text: string): void {
-    if (this.#text === undefined) {
+    if (!isRate(this.#text)) {
       this.#statedAtMs = Date.now();
     }
     this.#text = text;
@@ -56,10 +56,10 @@
 
   /** Records an attempt; a limit does not cover reports and orders. */
   addArrival(): void {
-    const ratePerS = Number(this.#text);
-    if (this.#text === undefined || !(ratePerS >= 0)) {
+    if (!isRate(this.#text)) {
       return;
     }
+    const ratePerS = Number(this.#text);
     const nowMs = Date.now();
     this.arrivals++;
     if (nowMs - this.#statedAtMs < SETTLE_MS) {
@@ -76,3 +76,8 @@
     }
   }
 }
+
+/** Whether a value is a limit; hosts can't know of one before. */
+function isRate(text: string | undefined): boolean {
+  return text !== undefined && Number(text) >= 0;
+}
