Stop repeating connection attempts to endpoints that refuse them

Cause: a refused connection settles an attempt as not run, which is no execution, so that the plan repeated it after 1 ms until the deadline. The pause of an unreachable endpoint only ranks endpoints, and all of them were paused.

Change: an endpoint that refuses a connection gets the next one after 250 ms at the earliest. While no endpoint of the service may be tried, calls, streams and scoring calls are rejected at once with 503 (they have not run) and that time as Retry-After.

--- a/packages/edge/src/calls/endpoint_failure.ts
+++ b/packages/edge/src/calls/endpoint_failure.ts
@@ -10,7 +10,6 @@
 /** Faults that are expected to affect the next requests to the endpoint as well. */
 const UNREACHABLE_FAULTS: ReadonlySet<PortFault> = new Set([
   "silent",
-  "refused",
   "oversized",
 ]);
 
@@ -59,5 +58,8 @@
     return "cancelled";
   }
   const fault = error instanceof PortError ? error.fault : "reset";
+  if (fault === "refused") {
+    return "closed";
+  }
   return UNREACHABLE_FAULTS.has(fault) ? "unreachable" : "broken";
 }
--- a/packages/edge/src/calls/forwarded_call.ts
+++ b/packages/edge/src/calls/forwarded_call.ts
@@ -8,7 +8,6 @@
 import {
   AttemptPlan,
   type AttemptResult,
-  LIMITED_REASON,
   NO_ENDPOINT_REASON,
 } from "@briarhill/routing/attempts/attempt_plan";
 import type { Admission } from "../limits/endpoint_admission.ts";
@@ -143,12 +142,12 @@
       this.#plan.cancelAttempt();
       return;
     }
-    if (admission.kind === "limited") {
+    if (admission.kind === "rejected") {
       this.#retryAfterMs = admission.retryAfterMs;
+      this.#plan.closeAttempts(admission.reason);
+      return;
     }
-    this.#plan.cancelAttempt(
-      admission.kind === "limited" ? LIMITED_REASON : NO_ENDPOINT_REASON,
-    );
+    this.#plan.cancelAttempt(NO_ENDPOINT_REASON);
   }
 
   /** Returns the final outcome if this attempt decides it. */
--- /dev/null
+++ b/packages/edge/src/calls/live_streams.ts
@@ -0,0 +1,152 @@
+/**
+ * Handles live calls whose response is a stream of events. Another endpoint may be
+ * tried only while none has run the request.
+ * @module
+ */
+import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
+import { encodeForwardedHeaders } from "@briarhill/platform/ingress/request_head";
+import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
+import type { Rejection } from "../limits/endpoint_admission.ts";
+import { writeCallFailure } from "./call_failure.ts";
+import type { CallForwarder } from "./call_forwarder.ts";
+import type { EndpointSender } from "./endpoint_sender.ts";
+import type { RoutedExchange } from "./ingress.ts";
+import { type StreamOutcome, streamResponse } from "./stream_call.ts";
+
+/** Options of {@link LiveStreams}. */
+export interface LiveStreamsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly forwarder: CallForwarder;
+  readonly sender: EndpointSender;
+}
+
+/** Handles live calls whose response is a stream. */
+export class LiveStreams {
+  readonly #options: LiveStreamsOptions;
+
+  constructor(options: LiveStreamsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Handles a request for a stream.
+   *
+   * @param exchange - The request, its route and the response to write.
+   * @param signal - Aborts when the caller has disconnected.
+   */
+  async handle(
+    exchange: RoutedExchange,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, logger } = this.#options;
+    const { route, head, arrivedAtMs } = exchange;
+    const tried = new Set<string>();
+    const { outcome, rejection } = await this.#runStream(
+      exchange,
+      tried,
+      signal,
+    );
+    if (outcome === "not-run" || outcome === "unknown") {
+      writeStreamFailure(exchange, outcome, rejection);
+    }
+    logger.info("stream-ended", {
+      request: head.attemptId,
+      route: route.name,
+      outcome,
+      attempts: tried.size,
+      ...(rejection === undefined ? {} : {
+        reason: rejection.reason,
+        retryAfterMs: Math.round(rejection.retryAfterMs),
+      }),
+      tookMs: Math.round(clock.getMonotonicMs() - arrivedAtMs),
+    });
+  }
+
+  /** Tries endpoints until one has run the request; adds them to `tried`. */
+  async #runStream(
+    exchange: RoutedExchange,
+    tried: Set<string>,
+    signal: AbortSignal,
+  ): Promise<{
+    readonly outcome: StreamOutcome;
+    readonly rejection?: Rejection;
+  }> {
+    const { route } = exchange;
+    const attempt = {
+      purpose: "stream",
+      tried,
+      isHedge: false,
+      signal,
+    } as const;
+    let outcome: StreamOutcome = "not-run";
+    while (outcome === "not-run" && tried.size < route.maxAttempts) {
+      const admission = await this.#options.forwarder.admitAttempt(
+        route,
+        attempt,
+      );
+      if (admission.kind === "rejected") {
+        return { outcome, rejection: admission };
+      }
+      const isUsable = admission.kind === "admitted" &&
+        !tried.has(admission.endpoint.id) && !signal.aborted;
+      if (!isUsable) {
+        break;
+      }
+      tried.add(admission.endpoint.id);
+      outcome = await this.#streamAttempt(
+        exchange,
+        admission.endpoint,
+        signal,
+      );
+    }
+    return { outcome };
+  }
+
+  #streamAttempt(
+    exchange: RoutedExchange,
+    endpoint: EndpointStructure,
+    signal: AbortSignal,
+  ): Promise<StreamOutcome> {
+    const { request, response, route, head, arrivedAtMs } = exchange;
+    const { clock, sender, logger } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const remainingMs = Math.max(1, arrivedAtMs + head.deadlineMs - nowMs);
+    return streamResponse(response, {
+      sender,
+      logger,
+      clock,
+      remainingMs,
+      request: {
+        endpoint,
+        purpose: "stream",
+        attemptId: head.attemptId,
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        headers: encodeForwardedHeaders(request.rawHeaders, {
+          endpoint: endpoint.id,
+          deadlineMs: remainingMs,
+        }),
+        body: exchange.body,
+        timeoutMs: Math.min(remainingMs, route.timeoutMs),
+        signal,
+      },
+    });
+  }
+}
+
+function writeStreamFailure(
+  { response }: RoutedExchange,
+  outcome: "not-run" | "unknown",
+  rejection: Rejection | undefined,
+): void {
+  const { reason, retryAfterMs } = rejection ??
+    { reason: "stream", retryAfterMs: undefined };
+  writeCallFailure(
+    response,
+    outcome === "not-run"
+      ? { kind: "refused", reason, retryAfterMs }
+      : { kind: "failed", reason },
+  );
+}
--- a/packages/edge/src/limits/endpoint_admission.ts
+++ b/packages/edge/src/limits/endpoint_admission.ts
@@ -37,11 +37,21 @@
   readonly maxWaitMs: number;
 }
 
-/** The endpoint of a request; "none" if there is no candidate, "limited" if no permit is available in time. */
+/** Why a request is rejected without an attempt: no permit is available in time, or no endpoint accepts connections. */
+export type RejectionReason = "limited" | "unreachable";
+
+/** The rejection of a request. */
+export interface Rejection {
+  readonly reason: RejectionReason;
+  /** The time after which the caller should retry, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
+/** The endpoint of a request; "none" if there is no candidate. */
 export type Admission =
   | { readonly kind: "admitted"; readonly endpoint: EndpointStructure }
   | { readonly kind: "none" }
-  | { readonly kind: "limited"; readonly retryAfterMs: number };
+  | (Rejection & { readonly kind: "rejected" });
 
 /** Options of {@link EndpointAdmission}. */
 export interface EndpointAdmissionOptions {
@@ -91,7 +101,20 @@
    * @param request - The request.
    */
   async admit(request: AdmissionRequest): Promise<Admission> {
-    const { candidates, tried } = request;
+    const { tried } = request;
+    const candidates = request.candidates.filter((endpoint) =>
+      this.#getClosedMs(endpoint) === 0
+    );
+    if (candidates.length === 0 && request.candidates.length > 0) {
+      const closedMs = request.candidates.map((endpoint) =>
+        this.#getClosedMs(endpoint)
+      );
+      return {
+        kind: "rejected",
+        reason: "unreachable",
+        retryAfterMs: Math.min(...closedMs),
+      };
+    }
     const untried = candidates.filter(({ id }) => !tried.has(id));
     const pool = untried.length > 0 ? untried : candidates;
     const limited = pool.filter((endpoint) => this.isLimited(endpoint));
@@ -136,6 +159,12 @@
     }
   }
 
+  #getClosedMs({ id }: EndpointStructure): number {
+    const { directory, clock } = this.#options;
+    return directory.endpointPicker.getLoad(id)
+      .getClosedMs(clock.getMonotonicMs());
+  }
+
   /** Lists the endpoints without a limit that have not just rejected or failed a request. */
   #listUsable(
     endpoints: readonly EndpointStructure[],
@@ -182,7 +211,7 @@
       },
     }, signal);
     const admission = this.#decodeReply(reply, endpoints);
-    if (admission.kind === "limited" && maxWaitMs === 0) {
+    if (admission.kind === "rejected" && maxWaitMs === 0) {
       const untilMs = this.#options.clock.getMonotonicMs() +
         admission.retryAfterMs;
       endpoints.forEach(({ id }) => this.#exhaustedUntilMs.set(id, untilMs));
@@ -201,6 +230,6 @@
         : { kind: "admitted", endpoint };
     }
     const retryAfterMs = reply.kind === "rejected" ? reply.retryAfterMs : 0;
-    return { kind: "limited", retryAfterMs };
+    return { kind: "rejected", reason: "limited", retryAfterMs };
   }
 }
--- a/packages/routing/src/attempts/attempt_plan.ts
+++ b/packages/routing/src/attempts/attempt_plan.ts
@@ -21,8 +21,6 @@
 
 /** The reason if there is no endpoint to send an attempt to. */
 export const NO_ENDPOINT_REASON = "no-endpoint";
-/** The reason of an attempt that got no permit; the decision allows for the time to the deadline, so it is final. */
-export const LIMITED_REASON = "limited";
 
 /** Options of an attempt plan. */
 export interface AttemptPlanOptions {
@@ -62,6 +60,7 @@
   #executions = 0;
   #failures = 0;
   #mayHaveRun = false;
+  #isRejected = false;
   #reason = NO_ENDPOINT_REASON;
 
   constructor(options: AttemptPlanOptions) {
@@ -112,6 +111,17 @@
     this.#reason = reason ?? this.#reason;
   }
 
+  /**
+   * Records that a started attempt was rejected before it was sent, which is
+   * final: the decision has allowed for the time to the deadline.
+   *
+   * @param reason - Why it was rejected.
+   */
+  closeAttempts(reason: string): void {
+    this.cancelAttempt(reason);
+    this.#isRejected = true;
+  }
+
   /**
    * Records the result of an attempt and returns whether its response is final.
    *
@@ -145,7 +155,7 @@
   canRetry(nowMs: number): boolean {
     const { isRepeatable, maxAttempts, startedAtMs, deadlineMs } =
       this.#options;
-    if (this.#executions >= maxAttempts || this.#reason === LIMITED_REASON) {
+    if (this.#executions >= maxAttempts || this.#isRejected) {
       return false;
     }
     if (this.#mayHaveRun && !isRepeatable) {
--- a/packages/routing/src/endpoints/endpoint_load.ts
+++ b/packages/routing/src/endpoints/endpoint_load.ts
@@ -16,9 +16,17 @@
 /** First pause after a failure, in milliseconds; it doubles up to the maximum. */
 const FIRST_FAILURE_PAUSE_MS = 400;
 const MAX_FAILURE_PAUSE_MS = 4_000;
+/** Minimum time between two connection attempts to an endpoint that accepts none, in milliseconds; an endpoint takes some seconds to restart. */
+const RECONNECT_INTERVAL_MS = 250;
 
 /** Result of a request as far as it concerns the health of the endpoint. */
-export type EndpointOutcome = "served" | "refused" | "broken" | "unreachable";
+export type EndpointOutcome =
+  | "served"
+  | "refused"
+  | "broken"
+  | "unreachable"
+  /** It accepted no connection, so that no byte of the request was sent. */
+  | "closed";
 
 /** Load, latency and failures of one endpoint, as observed by this host. */
 export class EndpointLoad {
@@ -29,6 +37,7 @@
   #rejections = 0;
   #lastServedAtMs = -Infinity;
   #pausedUntilMs = 0;
+  #closedUntilMs = 0;
   #reportedAtMs = -Infinity;
   #reportedRequests = 0;
   #inFlightAtReport = 0;
@@ -81,17 +90,21 @@
       this.#rejections = 0;
       this.#lastServedAtMs = nowMs;
       this.#pausedUntilMs = 0;
+      this.#closedUntilMs = 0;
     } else if (outcome === "refused") {
       const pauseMs = FIRST_REJECTION_PAUSE_MS * 2 ** this.#rejections;
       this.#rejections++;
       this.#pausedUntilMs = nowMs + Math.min(pauseMs, MAX_REJECTION_PAUSE_MS);
-    } else if (outcome === "unreachable" || outcome === "broken") {
+    } else if (outcome !== "cancelled") {
       this.#failures++;
       const pauseMs = FIRST_FAILURE_PAUSE_MS * 2 ** (this.#failures - 1);
       // A single corrupt response doesn't indicate a faulty endpoint.
-      if (outcome === "unreachable" || this.#failures > 1) {
+      if (outcome !== "broken" || this.#failures > 1) {
         this.#pausedUntilMs = nowMs + Math.min(pauseMs, MAX_FAILURE_PAUSE_MS);
       }
+      if (outcome === "closed") {
+        this.#closedUntilMs = nowMs + RECONNECT_INTERVAL_MS;
+      }
     }
   }
 
@@ -140,6 +153,16 @@
     return Math.max(this.#inFlight, this.#reportedRequests + sinceReport);
   }
 
+  /**
+   * Returns how long no connection is to be tried because the endpoint has just
+   * accepted none, in milliseconds; 0 if one may be tried.
+   *
+   * @param nowMs - The current time.
+   */
+  getClosedMs(nowMs: number): number {
+    return Math.max(0, this.#closedUntilMs - nowMs);
+  }
+
   /**
    * Returns whether the endpoint is paused after failures or rejections.
    *
