Recognize endpoints that ended under a request behind a proxy, and block longer each time

What callers saw: with connections through a proxy, as in the soak, a request still crashed 18 to 30 times.

Cause: a proxy accepts connections for an endpoint that has ended, so that the probe finds a listener. The same holds for an endpoint that lost its power and answers nothing.

Change: a lost attempt whose endpoint seems to live is remembered for 8 s; if the list of endpoints shows a restart or removal in that time, the ending counts. After its block of 10 minutes a request gets one trial at a time, each of which multiplies the next block by 4. The soak sends such requests, drawn apart so that the other faults of a seed stay as they were. A simulation counts wrong verdicts.

--- a/packages/bench/src/soak/soak_checks.ts
+++ b/packages/bench/src/soak/soak_checks.ts
@@ -6,6 +6,7 @@
   ReceivedAttempt,
   ReceivedOrder,
 } from "@briarhill/fakes/platform/endpoint_stand_in_options";
+import type { RequestCrash } from "@briarhill/fakes/platform/crash_switch";
 import type { LateAttempt } from "@briarhill/fakes/platform/leaving_monitor";
 import type { LimitOverrun } from "@briarhill/fakes/platform/limit_monitor";
 import type { LotResult } from "@briarhill/fakes/platform/trainer_calls";
@@ -28,6 +29,11 @@
 /** The least time between orders of two holders to one engine, in milliseconds (a bound of the platform). */
 const TURN_MS = 3_000;
 
+/** A request may crash this number of endpoints before hosts have to know it, and as many later (a bound of the platform). */
+const FREE_CRASHES = 3;
+/** The time in which hosts have to know it, in milliseconds (a bound of the platform). */
+const KNOWN_AFTER_MS = 3_000;
+
 /** Checks promises while a soak runs; each breach is kept. */
 export class SoakChecks {
   readonly #wholeText: string;
@@ -92,8 +98,10 @@
       readonly orders: readonly ReceivedOrder[];
       readonly leaving: { readonly lateRuns: readonly LateAttempt[] };
       readonly limit: { readonly overruns: readonly LimitOverrun[] };
+      readonly crash: { readonly crashes: readonly RequestCrash[] };
     }[],
   ): void {
+    this.#checkCrashes(endpoints.flatMap(({ crash }) => crash.crashes));
     for (const { runs, orders, leaving, limit } of endpoints) {
       for (const { ratePerS, requests, allowed } of limit.overruns) {
         this.#add(
@@ -135,6 +143,21 @@
     }
   }
 
+  #checkCrashes(crashes: readonly RequestCrash[]): void {
+    for (const body of new Set(crashes.map((crash) => crash.body))) {
+      const times = crashes.filter((crash) => crash.body === body)
+        .map(({ atMs }) => atMs).toSorted((first, second) => first - second);
+      const knownAtMs = (times[FREE_CRASHES - 1] ?? Infinity) + KNOWN_AFTER_MS;
+      const late = times.filter((atMs) => atMs > knownAtMs);
+      if (late.length > FREE_CRASHES) {
+        this.#add(
+          "a request that crashes endpoints reaches no more of them",
+          `${body} crashed ${late.length} late, ${times.length} in all`,
+        );
+      }
+    }
+  }
+
   #checkResult(lot: string, { id, state, output, score }: LotResult): void {
     if (state !== "completed" || output !== this.#wholeText) {
       this.#add("a text is whole", `${lot} ${id} ${state} "${output}"`);
--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -27,7 +27,8 @@
   | "link-holds-requests"
   | "link-holds-answers"
   | "endpoint-leaves"
-  | "endpoint-limited";
+  | "endpoint-limited"
+  | "request-crashes";
 
 const KINDS: readonly SoakFaultKind[] = [
   "kill",
@@ -69,10 +70,14 @@
   readonly durationMs: number;
 }
 
+/** Faults that are drawn apart, so that the other faults of a seed stay as they were. */
+const LATER_KINDS: readonly SoakFaultKind[] = ["request-crashes"];
+
 /** The mean pause between two faults, in milliseconds; most last longer, so that they overlap. */
 const MEAN_PAUSE_MS = 700;
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
+const LATER_MEAN_PAUSE_MS = 4_000;
 /** Above the number of anything that a fault can strike. */
 const MAX_TARGETS = 1_000;
 
@@ -88,16 +93,39 @@
 export function createSoakPlan(options: SoakPlanOptions): readonly SoakFault[] {
   // Neighbouring seeds would begin with the same draws.
   const random = new SeededRandom(hashText(`soak ${options.seed}`));
+  const later = new SeededRandom(hashText(`soak later ${options.seed}`));
+  return [
+    ...drawFaults(random, {
+      ...options,
+      kinds: KINDS,
+      meanPauseMs: MEAN_PAUSE_MS,
+    }),
+    ...drawFaults(later, {
+      ...options,
+      kinds: LATER_KINDS,
+      meanPauseMs: LATER_MEAN_PAUSE_MS,
+    }),
+  ].toSorted((first, second) => first.atMs - second.atMs);
+}
+
+function drawFaults(
+  random: SeededRandom,
+  { durationMs, kinds, meanPauseMs }: {
+    readonly durationMs: number;
+    readonly kinds: readonly SoakFaultKind[];
+    readonly meanPauseMs: number;
+  },
+): readonly SoakFault[] {
   const faults: SoakFault[] = [];
   let atMs = 0;
   while (true) {
-    atMs += MEAN_PAUSE_MS * (0.2 + 1.6 * random.getFloat());
-    if (atMs >= options.durationMs) {
+    atMs += meanPauseMs * (0.2 + 1.6 * random.getFloat());
+    if (atMs >= durationMs) {
       return faults;
     }
     faults.push({
       atMs,
-      kind: random.getItem(KINDS) ?? "kill",
+      kind: random.getItem(kinds) ?? "kill",
       forMs: MIN_FAULT_MS + random.getInteger(MAX_FAULT_MS - MIN_FAULT_MS),
       target: random.getInteger(MAX_TARGETS),
     });
--- a/packages/bench/src/soak/soak_run.ts
+++ b/packages/bench/src/soak/soak_run.ts
@@ -19,6 +19,8 @@
 import { createSoakPlan } from "./soak_plan.ts";
 
 const SAMPLES = 6;
+/** The number of endpoints of the plain service. */
+const SERVICES = 4;
 const LOT_EVERY_MS = 1_200;
 const CALL_EVERY_MS = 40;
 const READ_EVERY_MS = 150;
@@ -60,7 +62,11 @@
 
   constructor(options: SoakOptions) {
     this.#options = options;
-    this.#platform = new PlatformStandIn(options.port, options.hosts);
+    this.#platform = new PlatformStandIn(
+      options.port,
+      options.hosts,
+      SERVICES,
+    );
     this.#checks = new SoakChecks(this.#platform.completeText);
   }
 
--- a/packages/bench/test/soak/soak_checks_test.ts
+++ b/packages/bench/test/soak/soak_checks_test.ts
@@ -23,6 +23,7 @@
 
 const leaving = { lateRuns: [] };
 const limit = { overruns: [] };
+const crash = { crashes: [] };
 
 /** Each defect that is put in must be found as a breach of its promise. */
 function testDefect(
@@ -49,10 +50,22 @@
     checks.checkWhole(new Map([["l", 2]]));
     const orders = [createOrder("h", 1, 0), createOrder("i", 2, 3_000)];
     const runs = [{ attemptId: "c", path: "/", fromEvent: 0 }];
-    checks.checkEndpoints([{ runs, orders, leaving, limit }]);
+    checks.checkEndpoints([{ runs, orders, leaving, limit, crash }]);
     assert.deepEqual(checks.breaches, []);
   });
 
+  testDefect(
+    "a request that crashes endpoints reaches no more of them",
+    (checks) => {
+      const crashes = [0, 0, 0, 3_001, 3_002, 3_003, 3_004].map((atMs) => ({
+        body: "b",
+        atMs,
+      }));
+      checks.checkEndpoints([
+        { runs: [], orders: [], leaving, limit, crash: { crashes } },
+      ]);
+    },
+  );
   testDefect("a position never changes", (checks) => {
     checks.checkResults("l", [createResult("a")]);
     checks.checkResults("l", [createResult("b")]);
@@ -72,7 +85,7 @@
   testDefect("what was refused has not run", (checks) => {
     checks.checkCall({ id: "c", status: 503, body: "", signature: "" });
     const runs = [{ attemptId: "c", path: "/", fromEvent: 0 }];
-    checks.checkEndpoints([{ runs, orders: [], leaving, limit }]);
+    checks.checkEndpoints([{ runs, orders: [], leaving, limit, crash }]);
   });
   testDefect("an acknowledged lot is finished", (checks) => {
     checks.checkResults("l", [createResult("a")]);
@@ -80,20 +93,20 @@
   });
   testDefect("holders take turns slowly", (checks) => {
     const orders = [createOrder("h", 1, 0), createOrder("i", 2, 2_999)];
-    checks.checkEndpoints([{ runs: [], orders, leaving, limit }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving, limit, crash }]);
   });
   testDefect("two holders have two numbers", (checks) => {
     const orders = [createOrder("h", 1, 0), createOrder("i", 1, 4_000)];
-    checks.checkEndpoints([{ runs: [], orders, leaving, limit }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving, limit, crash }]);
   });
   testDefect("an order's number never falls", (checks) => {
     const orders = [createOrder("h", 2, 0), createOrder("i", 1, 4_000)];
-    checks.checkEndpoints([{ runs: [], orders, leaving, limit }]);
+    checks.checkEndpoints([{ runs: [], orders, leaving, limit, crash }]);
   });
   testDefect("all hosts together keep the limit of an endpoint", (checks) => {
     const overruns = [{ ratePerS: 1, requests: 12, allowed: 11 }];
     checks.checkEndpoints([
-      { runs: [], orders: [], leaving, limit: { overruns } },
+      { runs: [], orders: [], leaving, limit: { overruns }, crash },
     ]);
   });
   testDefect(
@@ -105,7 +118,7 @@
         afterMs: 2_001,
       };
       checks.checkEndpoints([
-        { runs: [], orders: [], leaving: { lateRuns: [late] }, limit },
+        { runs: [], orders: [], leaving: { lateRuns: [late] }, limit, crash },
       ]);
     },
   );
--- a/packages/edge/src/crashes/crash_guard.ts
+++ b/packages/edge/src/crashes/crash_guard.ts
@@ -13,6 +13,7 @@
 import type { CrashRecord } from "@briarhill/routing/crashes/crash_record";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { HostMetrics } from "../observe/host_metrics.ts";
+import { type DoubtfulAttempt, DoubtfulAttempts } from "./doubtful_attempts.ts";
 import { EndpointProbe } from "./endpoint_probe.ts";
 import { hashRequest, type RequestContent } from "./request_digest.ts";
 
@@ -21,6 +22,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: HostMetrics;
+  /** Returns what is listed of an endpoint, if it may receive requests. */
+  readonly getEndpoint: (id: string) => EndpointStructure | undefined;
   /** Called with an ending that this host has found, so that the other hosts learn of it. */
   readonly onFound: (record: CrashRecord) => void;
   /** Called with the endings that a request is no longer suspected of. */
@@ -47,6 +50,7 @@
   readonly history = new CrashHistory();
   readonly #options: CrashGuardOptions;
   readonly #probe = new EndpointProbe();
+  readonly #doubtful = new DoubtfulAttempts();
   /** The digests of requests in progress, computed only when they are needed. */
   readonly #digests = new WeakMap<GuardedRequest, string>();
 
@@ -64,12 +68,15 @@
     request: GuardedRequest,
     candidates: readonly EndpointStructure[],
   ): CrashDecision {
+    const { clock, getEndpoint } = this.#options;
+    this.#doubtful.takeRestarted(getEndpoint, clock.getMonotonicMs())
+      .forEach((attempt) => this.#addRecord(attempt));
     if (this.history.size === 0) {
       return { kind: "unrestricted" };
     }
     const decision = this.history.decideRun(this.#getDigest(request), {
       candidates,
-      nowMs: this.#options.clock.getWallMs(),
+      nowMs: clock.getWallMs(),
     });
     if (decision.kind !== "unrestricted") {
       this.#logDecision(request, decision);
@@ -116,11 +123,21 @@
     }
   }
 
+  /**
+   * Records that endpoints are no longer listed.
+   *
+   * @param ids - The ids of the endpoints.
+   */
+  applyRemovals(ids: readonly string[]): void {
+    this.#doubtful.takeRemoved(ids, this.#options.clock.getMonotonicMs())
+      .forEach((attempt) => this.#addRecord(attempt));
+  }
+
   async #probeEndpoint(
     { request, endpoint, isTrial }: GuardedAttempt,
     fault: string,
   ): Promise<void> {
-    const { clock, logger, metrics, onFound } = this.#options;
+    const { clock, logger, metrics } = this.#options;
     const listener = await this.#probe.probeListener(endpoint.address);
     const digest = this.#getDigest(request);
     metrics.addLostAttempt(listener);
@@ -132,10 +149,15 @@
       listener,
       isTrial,
     });
-    // A leaving endpoint ends on its own.
-    if (listener !== "none" || endpoint.isLeaving) {
-      return;
-    }
+    const lostAtMs = clock.getMonotonicMs();
+    const attempt = { digest, endpoint, isTrial, lostAtMs };
+    listener === "none"
+      ? this.#addRecord(attempt)
+      : this.#doubtful.addAttempt(attempt);
+  }
+
+  #addRecord({ digest, endpoint, isTrial }: DoubtfulAttempt): void {
+    const { clock, logger, onFound } = this.#options;
     const record: CrashRecord = {
       digest,
       endpoint: endpoint.id,
@@ -145,6 +167,12 @@
       isTrial,
       foundAtMs: clock.getWallMs(),
     };
+    logger.warn("endpoint-ended", {
+      digest,
+      endpoint: endpoint.id,
+      service: endpoint.service,
+      isTrial,
+    });
     this.history.addRecord(record);
     onFound(record);
   }
--- a/packages/edge/src/crashes/create_crash_components.ts
+++ b/packages/edge/src/crashes/create_crash_components.ts
@@ -4,6 +4,7 @@
  */
 import { hashText } from "@briarhill/common/hashing/rendezvous";
 import type { SharedLog } from "@briarhill/common/log/shared_log";
+import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { ShardOwnership } from "../limits/permit_owner.ts";
 import type { HostContext } from "../node/host_context.ts";
 import { CrashGuard } from "./crash_guard.ts";
@@ -22,25 +23,29 @@
  * ```ts
  * declare const context: HostContext;
  * declare const log: SharedLog;
+ * declare const directory: EndpointDirectory;
  *
  * const { crashGuard } = createCrashComponents(context, {
  *   log,
+ *   directory,
  *   getOwnership: () => "none",
  * });
  * ```
  * @param context - The dependencies that all components share.
- * @param options - The shared log, and whether this host owns a shard.
+ * @param options - The shared log, the endpoints, and whether this host owns a shard.
  */
 export function createCrashComponents(
   context: HostContext,
   options: {
     readonly log: SharedLog;
+    readonly directory: EndpointDirectory;
     readonly getOwnership: (shard: number) => ShardOwnership;
   },
 ): CrashComponents {
   const { storePartitions } = context.settings;
   const crashGuard: CrashGuard = new CrashGuard({
     ...context,
+    getEndpoint: (id) => options.directory.getEndpoint(id),
     onFound: (record) => sharedCrashes.publishCrash(record),
     onCleared: (records) => sharedCrashes.removeCrashes(records),
   });
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -57,13 +57,13 @@
   context: HostContext,
   options: ServingOptions,
 ): ServingComponents {
-  const { settings, clock } = context;
   const directory: EndpointDirectory = new EndpointDirectory({
     ...context,
     getLastFailureAtMs: () => published.endpointReadFailedAtMs,
     onRemoved: (ids) => {
       limitComponents.limits.removeLimits(ids);
       limitComponents.permitOwner.removeEndpoints(ids);
+      crashComponents.crashGuard.applyRemovals(ids);
     },
   });
   const published: PublishedState = new PublishedState({
@@ -71,22 +71,36 @@
     ...options,
     directory,
   });
-  const limitComponents: LimitComponents = createLimitComponents(context, {
-    ...options,
-    directory,
-  });
-  const sender = new EndpointSender({
-    clock,
-    directory,
-    limits: limitComponents.limits,
-    maxAnswerBytes: settings.memoryBytes / ANSWER_MEMORY_DIVISOR,
-  });
+  const limitComponents: LimitComponents = createLimitComponents(
+    context,
+    { ...options, directory },
+  );
+  const sender = createSender(context, { ...limitComponents, directory });
+  const shared = { ...options, directory };
+  const crashComponents: CrashComponents = createCrashComponents(
+    context,
+    shared,
+  );
   const parts = {
     ...limitComponents,
-    ...createCrashComponents(context, options),
+    ...crashComponents,
     directory,
     published,
     sender,
   };
   return { ...parts, forwarder: new CallForwarder({ ...context, ...parts }) };
 }
+
+function createSender(
+  { settings, clock }: HostContext,
+  options: {
+    readonly directory: EndpointDirectory;
+    readonly limits: LimitComponents["limits"];
+  },
+): EndpointSender {
+  return new EndpointSender({
+    ...options,
+    clock,
+    maxAnswerBytes: settings.memoryBytes / ANSWER_MEMORY_DIVISOR,
+  });
+}
--- a/packages/edge/test/calls/call_fixture.ts
+++ b/packages/edge/test/calls/call_fixture.ts
@@ -66,6 +66,7 @@
         ...parts,
         logger,
         metrics: new HostMetrics(),
+        getEndpoint: (id) => parts.directory.getEndpoint(id),
         onFound: () => undefined,
         onCleared: () => undefined,
       }),
--- a/packages/edge/test/crashes/crash_guard_test.ts
+++ b/packages/edge/test/crashes/crash_guard_test.ts
@@ -100,7 +100,7 @@
     returned = await returnOften();
     isRunning = false;
     harmless = await load;
-    const crashes = platform.services.flatMap(({ crash }) => crash.bodies);
+    const crashes = platform.services.flatMap(({ crash }) => crash.crashes);
     assert.ok(crashes.length >= 1, "nothing crashed");
     assert.ok(crashes.length <= MAX_CRASHES, `${crashes.length} crashes`);
   });
--- a/packages/fakes/src/platform/crash_switch.ts
+++ b/packages/fakes/src/platform/crash_switch.ts
@@ -5,6 +5,13 @@
 import type { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
 
+/** A crash of an endpoint by a request. */
+export interface RequestCrash {
+  readonly body: string;
+  /** In milliseconds since 1970. */
+  readonly atMs: number;
+}
+
 /** What is stopped and restarted. */
 export interface CrashableEndpoint {
   readonly close: () => void;
@@ -18,9 +25,15 @@
   text: string | undefined;
   /** The time from a crash to the restart as a new incarnation, in milliseconds. */
   restartMs = 500;
-  /** The bodies of the requests that have crashed the endpoint. */
-  readonly bodies: string[] = [];
+  /** The requests that have crashed the endpoint. */
+  readonly crashes: RequestCrash[] = [];
   #isDown = false;
+  #isStopped = false;
+
+  /** Leaves the endpoint stopped from now on. */
+  stop(): void {
+    this.#isStopped = true;
+  }
 
   /** Whether the endpoint has crashed and not restarted yet. */
   get isDown(): boolean {
@@ -36,7 +49,7 @@
     if (this.text === undefined || !body.includes(this.text)) {
       return false;
     }
-    this.bodies.push(body.toString());
+    this.crashes.push({ body: body.toString(), atMs: Date.now() });
     return true;
   }
 
@@ -52,6 +65,9 @@
     this.#isDown = true;
     endpoint.close();
     await sleep(this.restartMs);
+    if (this.#isStopped) {
+      return;
+    }
     await endpoint.start();
     endpoint.startIncarnation();
     this.#isDown = false;
--- a/packages/fakes/src/platform/platform_stand_in.ts
+++ b/packages/fakes/src/platform/platform_stand_in.ts
@@ -111,7 +111,10 @@
     clearInterval(this.#publishTimer);
     this.links.close();
     this.store.close();
-    this.endpoints.forEach((endpoint) => endpoint.close());
+    for (const endpoint of this.endpoints) {
+      endpoint.crash.stop();
+      endpoint.close();
+    }
   }
 
   #createEndpoint(
--- a/packages/routing/src/crashes/crash_history.ts
+++ b/packages/routing/src/crashes/crash_history.ts
@@ -14,8 +14,11 @@
 import type { EndpointStructure } from "../endpoints/endpoint.ts";
 import { type CrashRecord, formatCrashKey } from "./crash_record.ts";
 
-/** The time for which an ending counts against a request, in milliseconds. */
-export const CRASH_RETENTION_MS = 600_000;
+/** The time for which an ending is remembered, in milliseconds. */
+export const CRASH_RETENTION_MS = 86_400_000;
+/** The time for which a request is blocked after its first trial, in milliseconds; each further trial multiplies it. */
+export const FIRST_BLOCK_MS = 600_000;
+const BLOCK_GROWTH = 4;
 /** The maximum number of requests that are remembered; the oldest are dropped first. */
 const MAX_REQUESTS = 4_096;
 /** The number of trials after which a request is blocked even if other suspects ran beside it. */
@@ -111,8 +114,8 @@
    */
   getStanding(digest: string, nowMs: number): CrashStanding {
     const records = this.#listCurrent(digest, nowMs);
-    if (this.#isBlocked(records)) {
-      return "blocked";
+    if (this.#hasFailedTrial(records)) {
+      return nowMs < getBlockEndMs(records) ? "blocked" : "suspect";
     }
     const isExplained = records.every((record) =>
       this.#hasOtherCause(record, nowMs)
@@ -148,9 +151,7 @@
         !versions.has(softwareVersion)
       );
     if (pool.length === 0) {
-      const sinceMs = Math.max(...records.map(({ foundAtMs }) => foundAtMs));
-      const retryAfterMs = sinceMs + CRASH_RETENTION_MS - nowMs;
-      return { kind: "rejected", retryAfterMs };
+      return { kind: "rejected", retryAfterMs: getBlockEndMs(records) - nowMs };
     }
     return decideTrial(digest, pool, {
       ended: new Set(records.map(formatIncarnation)),
@@ -165,7 +166,7 @@
   }
 
   /** A trial that ended an endpoint counts alone unless another suspect ran there too. */
-  #isBlocked(records: readonly CrashRecord[]): boolean {
+  #hasFailedTrial(records: readonly CrashRecord[]): boolean {
     const trials = records.filter(({ isTrial }) => isTrial);
     return trials.length >= MAX_TRIALS ||
       trials.some((record) =>
@@ -173,12 +174,12 @@
       );
   }
 
-  /** Whether another request is blocked for the same ending. */
+  /** Whether the trial of another request explains an ending. */
   #hasOtherCause(record: CrashRecord, nowMs: number): boolean {
     const digests = this.#trials.get(formatIncarnation(record)) ?? [];
     return [...digests].some((digest) =>
       digest !== record.digest &&
-      this.#isBlocked(this.#listCurrent(digest, nowMs))
+      this.#hasFailedTrial(this.#listCurrent(digest, nowMs))
     );
   }
 
@@ -225,6 +226,13 @@
     : { kind: "trial", endpoint };
 }
 
+/** A request that still ends endpoints after its block is blocked longer, so that trials become rare. */
+function getBlockEndMs(records: readonly CrashRecord[]): number {
+  const trials = records.filter(({ isTrial }) => isTrial).length;
+  const lastMs = Math.max(...records.map(({ foundAtMs }) => foundAtMs));
+  return lastMs + FIRST_BLOCK_MS * BLOCK_GROWTH ** Math.max(0, trials - 1);
+}
+
 function formatIncarnation(
   { endpoint, startedAtMs }: Pick<CrashRecord, "endpoint" | "startedAtMs">,
 ): string {
--- a/packages/routing/test/crashes/crash_history_test.ts
+++ b/packages/routing/test/crashes/crash_history_test.ts
@@ -4,42 +4,19 @@
   CRASH_RETENTION_MS,
   type CrashDecision,
   CrashHistory,
+  FIRST_BLOCK_MS,
 } from "../../src/crashes/crash_history.ts";
 import {
   type CrashRecord,
   formatCrashKey,
 } from "../../src/crashes/crash_record.ts";
+import {
+  type CrashSimulationOptions,
+  runCrashSimulation,
+} from "./crash_simulation.ts";
+import { createEndpoint, createRecord } from "./fixtures.ts";
 import type { EndpointStructure } from "../../src/endpoints/endpoint.ts";
 
-function createRecord(fields: Partial<CrashRecord> = {}): CrashRecord {
-  return {
-    digest: "d",
-    endpoint: "e0",
-    startedAtMs: 1,
-    service: "s",
-    softwareVersion: "v1",
-    isTrial: false,
-    foundAtMs: 0,
-    ...fields,
-  };
-}
-
-function createEndpoint(id: string, softwareVersion = "v1"): EndpointStructure {
-  return {
-    id,
-    service: "s",
-    softwareVersion,
-    address: { hostname: "127.0.0.1", port: 1 },
-    failureDomain: "a",
-    slots: 4,
-    isLeaving: false,
-    coldMs: 0,
-    startedAtMs: 1,
-    models: new Map(),
-    beat: 1,
-  };
-}
-
 function createHistory(records: readonly Partial<CrashRecord>[]): CrashHistory {
   const history = new CrashHistory();
   records.forEach((fields) => history.addRecord(createRecord(fields)));
@@ -94,6 +71,18 @@
     ],
     "clear",
   );
+  testStanding(
+    "is suspect once the block ends",
+    [FIRST, TRIAL],
+    "suspect",
+    FIRST_BLOCK_MS,
+  );
+  testStanding(
+    "is blocked for longer after another trial",
+    [FIRST, TRIAL, { ...TRIAL, endpoint: "e2", foundAtMs: FIRST_BLOCK_MS }],
+    "blocked",
+    4 * FIRST_BLOCK_MS,
+  );
   testStanding(
     "is clear once the endings have expired",
     [FIRST, TRIAL],
@@ -145,10 +134,10 @@
     assert.equal(decideRun([FIRST], [only]).kind, "trial");
   });
 
-  it("rejects a blocked request until its endings expire", () => {
+  it("rejects a blocked request until its block ends", () => {
     assert.deepEqual(decideRun([FIRST, TRIAL], endpoints), {
       kind: "rejected",
-      retryAfterMs: CRASH_RETENTION_MS - 1,
+      retryAfterMs: FIRST_BLOCK_MS - 1,
     });
   });
 
@@ -176,3 +165,73 @@
     assert.equal(history.size, 4_095);
   });
 });
+
+const SEEDS = 10;
+/** The share of proper requests that a host may deny (a bound of the platform). */
+const MAX_WRONG = 1 / 500;
+const DEFAULTS: CrashSimulationOptions = {
+  seed: 1,
+  durationMs: 60_000,
+  endpoints: 4,
+  requestsPerS: 100,
+  contents: 1_000,
+  crashIntervalMs: 2_000,
+  crashShare: 0.3,
+  returnIntervalMs: 0,
+  crashingRequests: 0,
+};
+
+/** Harmless requests run beside crashing ones, and endpoints end for other reasons. */
+describe("CrashHistory under load", () => {
+  function testSeeds(
+    title: string,
+    options: Partial<CrashSimulationOptions>,
+    { maxWrong, maxCrashes }: {
+      /** The largest share of harmless requests that may be rejected as blocked. */
+      readonly maxWrong: number;
+      readonly maxCrashes: number;
+    },
+  ): void {
+    it(title, () => {
+      const reports = Array.from(
+        { length: SEEDS },
+        (_, seed) => runCrashSimulation({ ...DEFAULTS, ...options, seed }),
+      );
+      const sum = (field: "harmless" | "wrongVerdicts" | "delayed") =>
+        reports.reduce((total, report) => total + report[field], 0);
+      const crashes = Math.max(...reports.map((report) => report.maxCrashes));
+      const figures = `${sum("wrongVerdicts")} wrong, ${sum("delayed")} ` +
+        `delayed of ${sum("harmless")}, ${crashes} crashes`;
+      assert.ok(
+        sum("wrongVerdicts") <= maxWrong * sum("harmless"),
+        figures,
+      );
+      assert.ok(crashes <= maxCrashes, figures);
+    });
+  }
+
+  testSeeds("blocks no harmless request when endpoints end one by one", {}, {
+    maxWrong: MAX_WRONG,
+    maxCrashes: 0,
+  });
+  testSeeds(
+    "blocks no harmless request when whole services end at once",
+    { crashShare: 1, crashIntervalMs: 5_000 },
+    { maxWrong: MAX_WRONG, maxCrashes: 0 },
+  );
+  testSeeds(
+    "blocks no popular request when endpoints end one by one",
+    { contents: 5 },
+    { maxWrong: MAX_WRONG, maxCrashes: 0 },
+  );
+  testSeeds(
+    "lets one crashing request end three endpoints at most",
+    { returnIntervalMs: 500, crashingRequests: 1, crashIntervalMs: 1e9 },
+    { maxWrong: MAX_WRONG, maxCrashes: 3 },
+  );
+  testSeeds(
+    "lets five crashing requests end three endpoints each at most",
+    { returnIntervalMs: 500, crashingRequests: 5, endpoints: 12 },
+    { maxWrong: MAX_WRONG, maxCrashes: 3 },
+  );
+});
