--- a/packages/edge/src/calls/call_forwarder.ts
+++ b/packages/edge/src/calls/call_forwarder.ts
@@ -12,14 +12,14 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { Buffer } from "node:buffer";
 import type { CrashGuard, GuardedRequest } from "../crashes/crash_guard.ts";
+import { sendGuarded } from "../crashes/guarded_send.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type {
   Admission,
   EndpointAdmission,
 } from "../limits/endpoint_admission.ts";
 import type { RequestPurpose } from "../limits/observed_limits.ts";
-import { isLost } from "./endpoint_failure.ts";
-import type { EndpointRequest, EndpointSender } from "./endpoint_sender.ts";
+import type { EndpointSender } from "./endpoint_sender.ts";
 import type { AttemptAnswer, CallOutcome } from "./call_outcome.ts";
 import { ForwardedCall } from "./forwarded_call.ts";
 
@@ -133,15 +133,14 @@
     const { purpose, guarded, ...rest } = attempt;
     const service = this.#pickService(route);
     const candidates = directory.listEndpoints(service);
-    const decision = guarded === undefined
-      ? { kind: "unrestricted" as const }
-      : this.#options.crashGuard.decideRun(guarded, candidates);
+    const decision = this.#options.crashGuard.decideRun(guarded, candidates);
     if (decision.kind === "rejected") {
       const { retryAfterMs } = decision;
       const reason = "crashes-endpoints";
       return Promise.resolve({ kind: "rejected", reason, retryAfterMs });
     }
-    if (decision.kind === "trial" && attempt.isHedge) {
+    const isTrial = decision.kind === "trial";
+    if (isTrial && attempt.isHedge) {
       return Promise.resolve({ kind: "none" });
     }
     const isScoring = purpose === "scoring";
@@ -150,7 +149,7 @@
       service,
       flow: isScoring ? "training" : "live",
       priority: route.priority,
-      candidates: decision.kind === "trial" ? [decision.endpoint] : candidates,
+      candidates: isTrial ? [decision.endpoint] : candidates,
       maxWaitMs: isScoring
         ? SCORING_WAIT_MS
         : LIVE_WAIT_OBJECTIVE_RATIO * route.objectiveMs,
@@ -180,7 +179,7 @@
     const { clock, directory } = this.#options;
     const startMs = clock.getMonotonicMs();
     const remainingMs = request.deadlineMs - startMs - RESPONSE_RETURN_MS;
-    const attemptAnswer = await this.#sendGuarded(getGuarded(request), {
+    const attemptAnswer = await sendGuarded({
       endpoint,
       purpose: request.purpose,
       attemptId: request.attemptId,
@@ -193,7 +192,7 @@
       body: request.body,
       timeoutMs: Math.max(1, request.deadlineMs - startMs),
       signal,
-    });
+    }, { ...this.#options, guarded: getGuarded(request) });
     if (!attemptAnswer.answer.isRefused && attemptAnswer.answer.status < 500) {
       const durationMs = clock.getMonotonicMs() - startMs;
       const averageMs = this.#averageMs.get(request.route.name) ?? durationMs;
@@ -208,31 +207,6 @@
     return attemptAnswer;
   }
 
-  async #sendGuarded(
-    guarded: GuardedRequest | undefined,
-    request: EndpointRequest,
-  ): Promise<AttemptAnswer> {
-    const { sender, crashGuard } = this.#options;
-    if (guarded === undefined) {
-      return await sender.send(request);
-    }
-    const attempt = crashGuard.createAttempt(guarded, request.endpoint);
-    try {
-      const attemptAnswer = await sender.send(request);
-      const { isRefused } = attemptAnswer.answer;
-      await crashGuard.settleAttempt(
-        attempt,
-        isRefused ? "not-run" : "answered",
-      );
-      return attemptAnswer;
-    } catch (error) {
-      if (isLost(error) && !request.signal.aborted) {
-        await crashGuard.settleAttempt(attempt, "lost", error.fault);
-      }
-      throw error;
-    }
-  }
-
   #getHedgeDelayMs(route: RouteStructure): number {
     const averageMs = this.#averageMs.get(route.name) ?? 0;
     return Math.max(
--- a/packages/edge/src/crashes/crash_guard.ts
+++ b/packages/edge/src/crashes/crash_guard.ts
@@ -61,17 +61,17 @@
   /**
    * Decides where a request may run.
    *
-   * @param request - The request.
+   * @param request - The request; undefined if it is not guarded.
    * @param candidates - The endpoints that could serve it.
    */
   decideRun(
-    request: GuardedRequest,
+    request: GuardedRequest | undefined,
     candidates: readonly EndpointStructure[],
   ): CrashDecision {
     const { clock, getEndpoint } = this.#options;
     this.#doubtful.takeRestarted(getEndpoint, clock.getMonotonicMs())
       .forEach((attempt) => this.#addRecord(attempt));
-    if (this.history.size === 0) {
+    if (request === undefined || this.history.size === 0) {
       return { kind: "unrestricted" };
     }
     const decision = this.history.decideRun(this.#getDigest(request), {
