Let a stream go on only at the software version that began it

What callers saw: while two software versions served, streams that clients took up were answered 200 and ran to their end with text of both versions.

Cause: no host read who had begun a stream. Neither the version of an endpoint nor Resumes was decoded; a stream with Last-Event-Id went to the endpoint of the lowest cost.

Ruled out, by the test: loss of a host's knowledge (20 of 24 joined also without it, the same share after all hosts were replaced), and outdated endpoints (versions had been listed for a second).

Change: the log lists the software versions of a service in the order of their first use; a version is registered, by a conditional append, before the first stream begins there. Streams at the first version need no record. Streams at any other are recorded before the request is sent, in batches whose rate all hosts share. A stream without a record can therefore only have begun at the first version. A stream whose beginning a host can't know, or whose version has no endpoint, is rejected at once with 503, as it has not run. While records can't be written, streams begin where they need none.

--- a/packages/edge/src/calls/call_forwarder.ts
+++ b/packages/edge/src/calls/call_forwarder.ts
@@ -13,6 +13,7 @@
 import type { Buffer } from "node:buffer";
 import type { CrashGuard, GuardedRequest } from "../crashes/crash_guard.ts";
 import { sendGuarded } from "../crashes/guarded_send.ts";
+import type { AcceptedPlacement } from "../origins/stream_origins.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type {
   Admission,
@@ -127,12 +128,16 @@
       readonly tried: ReadonlySet<string>;
       readonly isHedge: boolean;
       readonly signal: AbortSignal;
+      /** Restricts the endpoints of a stream. */
+      readonly placement?: AcceptedPlacement;
     },
   ): Promise<Admission> {
     const { directory, admission } = this.#options;
-    const { purpose, guarded, ...rest } = attempt;
-    const service = this.#pickService(route);
-    const candidates = directory.listEndpoints(service);
+    const { purpose, guarded, placement, ...rest } = attempt;
+    const service = placement?.service ?? this.#pickService(route);
+    const candidates = directory.listEndpoints(service).filter((endpoint) =>
+      placement?.accepts(endpoint) ?? true
+    );
     const decision = this.#options.crashGuard.decideRun(guarded, candidates);
     if (decision.kind === "rejected") {
       const { retryAfterMs } = decision;
--- a/packages/edge/src/calls/live_streams.ts
+++ b/packages/edge/src/calls/live_streams.ts
@@ -13,6 +13,11 @@
   GuardedRequest,
 } from "../crashes/crash_guard.ts";
 import type { Rejection } from "../limits/endpoint_admission.ts";
+import {
+  type AcceptedPlacement,
+  type StreamOrigins,
+  UNRECORDED_REJECTION,
+} from "../origins/stream_origins.ts";
 import { writeCallFailure } from "./call_failure.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
 import type { EndpointSender } from "./endpoint_sender.ts";
@@ -33,6 +38,12 @@
   readonly signal: AbortSignal;
 }
 
+/** The outcome of a stream; a rejection is the reason why no endpoint has run it. */
+interface StreamReport {
+  readonly outcome: StreamOutcome;
+  readonly rejection?: Rejection;
+}
+
 /** Options of {@link LiveStreams}. */
 export interface LiveStreamsOptions {
   readonly clock: Clock;
@@ -40,6 +51,7 @@
   readonly forwarder: CallForwarder;
   readonly sender: EndpointSender;
   readonly crashGuard: CrashGuard;
+  readonly streamOrigins: StreamOrigins;
 }
 
 /** Handles live calls whose response is a stream. */
@@ -63,11 +75,14 @@
     const { clock, logger } = this.#options;
     const { route, head, arrivedAtMs } = exchange;
     const tried = new Set<string>();
-    const { outcome, rejection } = await this.#runStream(
+    const { outcome, rejection } = await this.#runPlaced(
       exchange,
       tried,
       signal,
     );
+    if (outcome === "whole") {
+      this.#options.streamOrigins.removeStream(head);
+    }
     if (outcome === "not-run" || outcome === "unknown") {
       writeStreamFailure(exchange, outcome, rejection);
     }
@@ -84,30 +99,40 @@
     });
   }
 
-  /** Tries endpoints until one has run the request; adds them to `tried`. */
-  async #runStream(
+  async #runPlaced(
     exchange: RoutedExchange,
     tried: Set<string>,
     signal: AbortSignal,
-  ): Promise<{
-    readonly outcome: StreamOutcome;
-    readonly rejection?: Rejection;
-  }> {
+  ): Promise<StreamReport> {
+    const { route, head } = exchange;
+    const placement = await this.#options.streamOrigins
+      .decidePlacement(head, route);
+    return placement.kind === "rejected"
+      ? { outcome: "not-run", rejection: placement }
+      : await this.#runStream(exchange, { placement, tried, signal });
+  }
+
+  /** Tries endpoints until one has run the request; adds them to `tried`. */
+  async #runStream(
+    exchange: RoutedExchange,
+    { placement, tried, signal }: {
+      readonly placement: AcceptedPlacement;
+      readonly tried: Set<string>;
+      readonly signal: AbortSignal;
+    },
+  ): Promise<StreamReport> {
     const { route } = exchange;
     const guarded = createGuarded(exchange);
-    const attempt = {
-      purpose: "stream",
-      guarded,
-      tried,
-      isHedge: false,
-      signal,
-    } as const;
     let outcome: StreamOutcome = "not-run";
     while (outcome === "not-run" && tried.size < route.maxAttempts) {
-      const admission = await this.#options.forwarder.admitAttempt(
-        route,
-        attempt,
-      );
+      const admission = await this.#options.forwarder.admitAttempt(route, {
+        purpose: "stream",
+        guarded,
+        placement,
+        tried,
+        isHedge: false,
+        signal,
+      });
       if (admission.kind === "rejected") {
         return { outcome, rejection: admission };
       }
@@ -116,16 +141,28 @@
       if (!isUsable) {
         break;
       }
-      tried.add(admission.endpoint.id);
-      outcome = await this.#runGuarded(exchange, {
-        guarded,
-        endpoint: admission.endpoint,
-        signal,
-      });
+      const { endpoint } = admission;
+      tried.add(endpoint.id);
+      if (!await this.#recordStart(exchange, placement, endpoint)) {
+        return { outcome, rejection: UNRECORDED_REJECTION };
+      }
+      const attempt = { guarded, endpoint, signal };
+      outcome = await this.#runGuarded(exchange, attempt);
     }
     return { outcome };
   }
 
+  /** Returns whether a stream may begin at an endpoint; one that goes on keeps its record. */
+  async #recordStart(
+    { head, route }: RoutedExchange,
+    { kind }: AcceptedPlacement,
+    endpoint: EndpointStructure,
+  ): Promise<boolean> {
+    const { streamOrigins } = this.#options;
+    return kind === "goes-on" ||
+      await streamOrigins.recordStart(head.attemptId, { route, endpoint });
+  }
+
   async #runGuarded(
     exchange: RoutedExchange,
     { guarded, endpoint, signal }: StreamAttempt,
--- a/packages/edge/src/endpoints/endpoint_directory.ts
+++ b/packages/edge/src/endpoints/endpoint_directory.ts
@@ -105,9 +105,13 @@
   #applyEntry(id: string, value: LogRecord["value"]): void {
     const { logger } = this.#options;
     try {
-      const change = this.#table.applyEntry(decodeEndpoint(id, value));
+      const endpoint = decodeEndpoint(id, value);
+      const change = this.#table.applyEntry(endpoint);
       if (change === "added" || change === "leaving") {
-        logger.info(`endpoint-${change}`, { endpoint: id });
+        logger.info(`endpoint-${change}`, {
+          endpoint: id,
+          software: endpoint.softwareVersion,
+        });
       }
     } catch (error) {
       if (!(error instanceof InputError)) {
--- a/packages/edge/src/limits/endpoint_admission.ts
+++ b/packages/edge/src/limits/endpoint_admission.ts
@@ -37,11 +37,18 @@
   readonly maxWaitMs: number;
 }
 
-/**
- * Why a request is rejected without an attempt: no permit is available in time, no
- * endpoint accepts connections, or endpoints have ended while they ran it.
- */
-export type RejectionReason = "limited" | "unreachable" | "crashes-endpoints";
+/** Why a request is rejected without an attempt. */
+export type RejectionReason =
+  /** No permit is available in time. */
+  | "limited"
+  /** No endpoint accepts connections. */
+  | "unreachable"
+  /** Endpoints have ended while they ran it. */
+  | "crashes-endpoints"
+  /** It is not known at which software version its stream has begun. */
+  | "unknown-origin"
+  /** No endpoint has the software version that has begun its stream. */
+  | "version-gone";
 
 /** The rejection of a request. */
 export interface Rejection {
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -104,9 +104,7 @@
         claims.handle(request, response, (lot) => this.isRunning(lot)),
     });
     await this.#metrics.start(metrics);
-    this.#serving.published.start();
-    this.#serving.sharedLimits.start();
-    this.#serving.sharedCrashes.start();
+    this.#serving.followers.forEach((follower) => follower.start());
     this.#store.peers.start();
     this.#training.owner.start();
     this.#training.cleaner.start();
@@ -160,9 +158,7 @@
     this.#metrics.close();
     this.#training.claims.close();
     this.#training.partitions.stop();
-    this.#serving.published.stop();
-    this.#serving.sharedLimits.stop();
-    this.#serving.sharedCrashes.stop();
+    this.#serving.followers.forEach((follower) => follower.stop());
     this.#serving.permits.close();
     this.#serving.sender.close();
     this.#store.transport.close();
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -16,6 +16,10 @@
   type LimitComponents,
   type LimitComponentsOptions,
 } from "../limits/create_limit_components.ts";
+import {
+  createOriginComponents,
+  type OriginComponents,
+} from "../origins/create_origin_components.ts";
 import type { PeerList } from "../peers/peer_list.ts";
 import type { HostContext } from "./host_context.ts";
 import { PublishedState } from "./published_state.ts";
@@ -24,11 +28,17 @@
 const ANSWER_MEMORY_DIVISOR = 64;
 
 /** The components of a host that send requests to endpoints. */
-export interface ServingComponents extends LimitComponents, CrashComponents {
+export interface ServingComponents
+  extends LimitComponents, CrashComponents, OriginComponents {
   readonly directory: EndpointDirectory;
   readonly published: PublishedState;
   readonly sender: EndpointSender;
   readonly forwarder: CallForwarder;
+  /** Follow what other hosts write to the shared log. */
+  readonly followers: readonly {
+    readonly start: () => void;
+    readonly stop: () => void;
+  }[];
 }
 
 /** Options of {@link createServingComponents}. */
@@ -75,20 +85,32 @@
     context,
     { ...options, directory },
   );
-  const sender = createSender(context, { ...limitComponents, directory });
   const shared = { ...options, directory };
   const crashComponents: CrashComponents = createCrashComponents(
     context,
     shared,
   );
-  const parts = {
+  return buildComponents(context, {
     ...limitComponents,
     ...crashComponents,
+    ...createOriginComponents(context, shared),
     directory,
     published,
+  });
+}
+
+function buildComponents(
+  context: HostContext,
+  parts: Omit<ServingComponents, "sender" | "forwarder" | "followers">,
+): ServingComponents {
+  const { published, sharedLimits, sharedCrashes, softwareVersions } = parts;
+  const sender = createSender(context, parts);
+  return {
+    ...parts,
     sender,
+    followers: [published, sharedLimits, sharedCrashes, softwareVersions],
+    forwarder: new CallForwarder({ ...context, ...parts, sender }),
   };
-  return { ...parts, forwarder: new CallForwarder({ ...context, ...parts }) };
 }
 
 function createSender(
--- a/packages/edge/src/observe/host_metrics.ts
+++ b/packages/edge/src/observe/host_metrics.ts
@@ -110,6 +110,15 @@
     this.#counters.addOne("crash_decisions_total", kind);
   }
 
+  /**
+   * Counts a decision where a stream that a client takes up goes on, or the rejection of a stream.
+   *
+   * @param outcome - "goes-on", or the reason of the rejection.
+   */
+  addStreamPlacement(outcome: string): void {
+    this.#counters.addOne("stream_placements_total", outcome);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   formatAll(): string {
     return this.#counters.formatCounters() +
--- a/packages/edge/test/node/platform_fixture.ts
+++ b/packages/edge/test/node/platform_fixture.ts
@@ -13,6 +13,17 @@
 
   async startHosts(count: number): Promise<void> {
     await this.start();
+    await this.#startAll(count);
+  }
+
+  /** Stops all hosts and starts others in their place, which know nothing. */
+  async restartHosts(): Promise<void> {
+    const hosts = this.#hosts.splice(0);
+    await Promise.all(hosts.map((host) => host.stop()));
+    await this.#startAll(hosts.length);
+  }
+
+  async #startAll(count: number): Promise<void> {
     for (let number = 0; number < count; number++) {
       const host = new EntryHost(
         parseHostSettings("host.ini", this.createSettings(number)),
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -19,6 +19,7 @@
   ReceivedAttempt,
   ReceivedOrder,
 } from "./endpoint_stand_in_options.ts";
+import { FIRST_SOFTWARE_VERSION, formatEvent } from "./event_text.ts";
 import { LimitMonitor } from "./limit_monitor.ts";
 import { LeavingMonitor } from "./leaving_monitor.ts";
 import { CrashSwitch } from "./crash_switch.ts";
@@ -54,6 +55,8 @@
   eventDelayMs = 0;
   /** The delay before each attempt starts, in milliseconds; reports and orders are not delayed. */
   delayMs = 0;
+  /** The version of its software, which shows in all events that it generates. */
+  softwareVersion = FIRST_SOFTWARE_VERSION;
   /** Crashes when it runs certain requests. */
   readonly crash = new CrashSwitch();
 
@@ -97,7 +100,7 @@
       service,
       address: `${hostname}:${port}`,
       zone,
-      version: "v1",
+      version: this.softwareVersion,
       slots: 4,
       state,
       coldLeftMs: 0,
@@ -218,7 +221,8 @@
         response.destroy();
         return;
       }
-      response.write(`id: ${id}\ndata: e${id}\n\n`);
+      const data = formatEvent(this.softwareVersion, id);
+      response.write(`id: ${id}\ndata: ${data}\n\n`);
     }
     response.end();
   }
--- a/packages/fakes/src/platform/platform_configuration.ts
+++ b/packages/fakes/src/platform/platform_configuration.ts
@@ -6,6 +6,14 @@
 /** The HTTP host name of the routes of {@link createConfiguration}. */
 export const SERVICE_HOST = "app.example";
 
+const RESUMABLE_STREAMS = {
+  type: "streaming",
+  resumable: true,
+  timeoutMs: 10_000,
+  service: "engines",
+  maxAttempts: 2,
+};
+
 /**
  * Returns a configuration with one plain service and one service of engines.
  *
@@ -27,6 +35,11 @@
       timeoutMs: 2_000,
       service: "app",
       maxAttempts: 2,
+    }, {
+      ...common,
+      name: "streams",
+      pathPrefix: "/streams/",
+      ...RESUMABLE_STREAMS,
     }, {
       ...common,
       name: "rollout",
--- a/packages/fakes/src/platform/platform_stand_in.ts
+++ b/packages/fakes/src/platform/platform_stand_in.ts
@@ -8,6 +8,7 @@
   OPERATOR_TOPIC,
 } from "@briarhill/platform/names/topics";
 import { EndpointStandIn } from "./endpoint_stand_in.ts";
+import { FIRST_SOFTWARE_VERSION, formatText } from "./event_text.ts";
 import { HostClient } from "./host_client.ts";
 import { createConfiguration } from "./platform_configuration.ts";
 import { PlatformLinks } from "./platform_links.ts";
@@ -15,6 +16,7 @@
 import { StoreStandIn } from "./store_stand_in.ts";
 
 const STORE_IP = "127.0.0.1";
+const ENGINES = 2;
 const PUBLISH_INTERVAL_MS = 300;
 const EVENTS_PER_SAMPLE = 8;
 const ENDPOINT_DEFAULTS = {
@@ -44,8 +46,10 @@
    */
   constructor(base: number, hosts = 0, services = 2) {
     super(base, hosts > 0);
-    this.engines = [0, 1].map((number) =>
-      this.#createEndpoint(`engine-${number}`, base + 10 + number, ["m0"])
+    this.engines = Array.from(
+      { length: ENGINES },
+      (_, number) =>
+        this.#createEndpoint(`engine-${number}`, base + 10 + number, ["m0"]),
     );
     this.services = Array.from(
       { length: services },
@@ -84,9 +88,7 @@
 
   /** The output of every complete sample. */
   get completeText(): string {
-    return Array.from({ length: EVENTS_PER_SAMPLE }, (_, id) => `e${id}`).join(
-      "\n",
-    );
+    return formatText(FIRST_SOFTWARE_VERSION, EVENTS_PER_SAMPLE);
   }
 
   /** Publishes the next version of the configuration. */
--- a/packages/platform/src/ingress/request_head.ts
+++ b/packages/platform/src/ingress/request_head.ts
@@ -9,6 +9,7 @@
   DEADLINE_MS,
   EXPECTED_INSTANCE,
   LAST_EVENT_ID,
+  RESUMES,
   WAIT_MS,
 } from "../names/headers.ts";
 
@@ -45,6 +46,8 @@
   readonly deadlineMs: number;
   /** The last event of a stream that the caller has received; empty if none. */
   readonly lastEventId: string;
+  /** The attempt that received the first event of the stream that the caller takes up; empty if none. */
+  readonly resumedAttemptId: string;
   /** Maximum wait of a long-polling read, in milliseconds. */
   readonly waitMs: number;
 }
@@ -63,6 +66,7 @@
     attemptId: getText(headers, ATTEMPT_ID),
     deadlineMs: getNumber(headers, DEADLINE_MS) ?? Infinity,
     lastEventId: getText(headers, LAST_EVENT_ID),
+    resumedAttemptId: getText(headers, RESUMES),
     waitMs: getNumber(headers, WAIT_MS) ?? 0,
   };
 }
--- a/packages/platform/src/names/headers.ts
+++ b/packages/platform/src/names/headers.ts
@@ -39,3 +39,5 @@
 export const PROMPT_PREFIX = "X-Briarhill-Prompt-Prefix";
 /** The id of the last event that the reader of a stream has received. */
 export const LAST_EVENT_ID = "Last-Event-Id";
+/** The client attempt that received the first event of a stream which the client takes up. */
+export const RESUMES = "Resumes";
--- a/packages/platform/src/names/topics.ts
+++ b/packages/platform/src/names/topics.ts
@@ -18,6 +18,10 @@
 export const LIMIT_TOPIC = "keyed.limits";
 /** Endpoints that ended while they ran a request; read by hosts only. */
 export const CRASH_TOPIC = "keyed.crashes";
+/** Software versions of services, in the order of their first use; read by hosts only. */
+export const VERSION_TOPIC = "keyed.software-versions";
+/** Software versions at which streams have begun; read by hosts only. */
+export const STREAM_TOPIC = "keyed.streams";
 /** Leases of the hosts; read by hosts only. */
 export const LEASE_TOPIC = "leases";
 
