Let a sample go on only at the software version that generated its events

What trainers saw: results of lots held events from engines of two software versions.

Attempts after a broken stream, moves of stragglers, a new owner of a lot and a task of an earlier lot went on at any engine of the model.

Ruled out: the log's progress alone; one owner joined texts as well.

Change: a task holds the software version of its events; it goes with logged progress and with tasks of earlier lots; progress without one (of older hosts) is not resumed. Samples with events go on, and stragglers move, only to engines of that version.

--- a/packages/edge/src/lots/engine_picker.ts
+++ b/packages/edge/src/lots/engine_picker.ts
@@ -77,19 +77,26 @@
   }
 
   /**
-   * Returns the engine for the next sample of a lot, or undefined if no engine
+   * Returns the engine for a sample of a lot, or undefined if no engine
    * has capacity and the sample has to wait.
    *
    * @param lot - The lot.
    * @param route - The route of the lot.
+   * @param softwareVersion - The software version at which the sample must go on; undefined for any.
    */
   pickEngine(
     lot: LotRequest,
-    route: RouteStructure,
+    { route, softwareVersion }: {
+      readonly route: RouteStructure;
+      readonly softwareVersion: string | undefined;
+    },
   ): EndpointStructure | undefined {
     const { directory, clock, failureDomain } = this.#options;
     return directory.endpointPicker.pickEndpoint({
-      candidates: this.#listEngines(lot, route),
+      candidates: this.#listEngines(lot, route).filter((engine) =>
+        softwareVersion === undefined ||
+        engine.softwareVersion === softwareVersion
+      ),
       tried: new Set(),
       failureDomain,
       nowMs: clock.getMonotonicMs(),
@@ -117,18 +124,43 @@
     const engines = this.#listEngines(lot, route).filter((engine) =>
       !admission.isLimited(engine)
     );
-    const candidates = engines.flatMap(({ id, slots }) => {
-      const eventMs = this.#pace.getEventMs(id, nowMs);
-      const freeSlots = slots -
-        directory.endpointPicker.getLoad(id).getRequests(nowMs);
-      return eventMs === undefined ? [] : [{ id, eventMs, freeSlots }];
-    });
-    return decideMoves(running, candidates).flatMap(({ sample, engine }) => {
+    const listCandidates = (version: string) =>
+      engines.flatMap(({ id, slots, softwareVersion }) => {
+        const eventMs = this.#pace.getEventMs(id, nowMs);
+        const freeSlots = slots -
+          directory.endpointPicker.getLoad(id).getRequests(nowMs);
+        return eventMs === undefined || softwareVersion !== version
+          ? []
+          : [{ id, eventMs, freeSlots }];
+      });
+    const versions = new Set(
+      running.map(({ softwareVersion }) => softwareVersion),
+    );
+    const moves = [...versions].flatMap((version) =>
+      decideMoves(
+        running.filter(({ softwareVersion }) => softwareVersion === version),
+        listCandidates(version),
+      )
+    );
+    return moves.flatMap(({ sample, engine }) => {
       const target = engines.find(({ id }) => id === engine);
       return target === undefined ? [] : [{ sample, engine: target }];
     });
   }
 
+  /**
+   * Returns whether an engine of the route has a software version, available or not.
+   *
+   * @param softwareVersion - The software version.
+   * @param route - The route of the lot.
+   */
+  hasSoftwareVersion(softwareVersion: string, route: RouteStructure): boolean {
+    return this.#options.directory.listEndpoints(
+      route.targets[0]?.service ?? "",
+    )
+      .some((engine) => engine.softwareVersion === softwareVersion);
+  }
+
   #listEngines(
     lot: LotRequest,
     route: RouteStructure,
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -16,6 +16,7 @@
   RunningSamples,
   type RunningSamplesOptions,
 } from "./running_samples.ts";
+import { pickForTask } from "./task_pick.ts";
 import type { SampleScorer } from "./sample_scorer.ts";
 
 /** Backoff after an attempt that was refused, in milliseconds. */
@@ -114,15 +115,14 @@
   }
 
   #startWaiting(route: RouteStructure, nowMs: number): void {
+    const lot = this.#work.lot.request;
     for (const task of this.#work.listWaiting(nowMs)) {
-      const engine = this.#options.picker.pickEngine(
-        this.#work.lot.request,
-        route,
-      );
-      if (engine === undefined) {
+      const pick = pickForTask(task, { ...this.#options, lot, route });
+      if (pick.engine !== undefined) {
+        void this.#generate(task, pick.engine, route);
+      } else if (!pick.canOthersStart) {
         return;
       }
-      void this.#generate(task, engine, route);
     }
   }
 
--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -144,6 +144,7 @@
       moves,
       abort: new AbortController(),
     };
+    task.startAttempt(endpoint.softwareVersion);
     this.#attempts.set(task.request.id, attempt);
     const report = await runGeneration({
       ...this.#options,
@@ -172,6 +173,7 @@
       .map(({ task, endpoint, startedAtMs, initialEvents, moves }) => ({
         sample: task.request.id,
         engine: endpoint.id,
+        softwareVersion: endpoint.softwareVersion,
         events: task.eventCount - initialEvents,
         tookMs: nowMs - startedAtMs,
         expectedLeft: Math.max(
--- a/packages/rollout/src/dispatch/sample_task.ts
+++ b/packages/rollout/src/dispatch/sample_task.ts
@@ -49,6 +49,8 @@
   isComplete = false;
   /** The signature of the scoring response; empty until then. */
   score = "";
+  /** The software version of the engines that generated the events; undefined if there are none. */
+  #softwareVersion: string | undefined;
   #texts: string[] = [];
   readonly #versions = new Set<number>();
   #characterCount = 0;
@@ -70,6 +72,25 @@
     return this.#texts.length;
   }
 
+  /** The software version at which the sample must go on; undefined if any may begin it. */
+  get softwareVersion(): string | undefined {
+    return this.#texts.length > 0 ? this.#softwareVersion : undefined;
+  }
+
+  /**
+   * Prepares an attempt at an engine. Discards the events of another software
+   * version, as the texts of two don't fit together.
+   *
+   * @param softwareVersion - The software version of the engine.
+   */
+  startAttempt(softwareVersion: string): void {
+    const begun = this.softwareVersion ?? softwareVersion;
+    if (begun !== softwareVersion) {
+      this.clear();
+    }
+    this.#softwareVersion = softwareVersion;
+  }
+
   /** The weight versions that generated the events. */
   get versions(): readonly number[] {
     return [...this.#versions];
@@ -128,15 +149,23 @@
       texts: this.#texts.slice(fromEvent),
       lastEventId: this.#lastEventId,
       versions: this.versions,
+      ...(this.#softwareVersion === undefined
+        ? {}
+        : { softwareVersion: this.#softwareVersion }),
     };
   }
 
   /**
-   * Resumes from the progress in the shared log.
+   * Resumes from the progress in the shared log, unless it does not tell which
+   * software version generated it.
    *
    * @param progress - The logged progress.
    */
   resume(progress: SampleProgress): void {
+    if (progress.softwareVersion === undefined) {
+      return;
+    }
+    this.#softwareVersion = progress.softwareVersion;
     this.#texts = [...progress.texts];
     this.#characterCount = countCharacters(this.#texts);
     progress.versions.forEach((version) => this.#versions.add(version));
@@ -163,6 +192,7 @@
     this.#characterCount = other.#characterCount;
     other.versions.forEach((version) => this.#versions.add(version));
     this.#lastEventId = other.#lastEventId;
+    this.#softwareVersion = other.#softwareVersion;
     this.isComplete = other.isComplete;
     const isSameScoring =
       this.request.scoring?.id === other.request.scoring?.id;
--- a/packages/rollout/src/dispatch/straggler_policy.ts
+++ b/packages/rollout/src/dispatch/straggler_policy.ts
@@ -29,6 +29,8 @@
 
 /** A sample and its current attempt. */
 export interface RunningAttempt {
+  /** The software version of the engine; the sample may only move to engines with the same one. */
+  readonly softwareVersion: string;
   readonly sample: string;
   readonly engine: EndpointId;
   /** Number of events of this attempt, and the time that it has taken. */
--- a/packages/rollout/src/ledger/lot_request.ts
+++ b/packages/rollout/src/ledger/lot_request.ts
@@ -57,6 +57,8 @@
   readonly lastEventId: number;
   /** The weight versions that generated the text so far. */
   readonly versions: readonly number[];
+  /** The software version of the engines that generated it; missing in records of older hosts. */
+  readonly softwareVersion?: string;
 }
 
 /**
--- a/packages/rollout/test/dispatch/dispatch_test.ts
+++ b/packages/rollout/test/dispatch/dispatch_test.ts
@@ -190,6 +190,7 @@
 describe("SampleTask.takeProgress", () => {
   function createTask(events: number, version = 2): SampleTask {
     const task = new SampleTask(createSample("a", "g", 1));
+    task.startAttempt("v1");
     for (let id = 0; id < events; id++) {
       task.addEvent({ id, data: `${id}`, version }, 1);
     }
--- a/packages/rollout/test/dispatch/straggler_policy_test.ts
+++ b/packages/rollout/test/dispatch/straggler_policy_test.ts
@@ -12,6 +12,7 @@
   ): RunningAttempt {
     return {
       sample: "a",
+      softwareVersion: "v1",
       engine: "slow",
       events: 10,
       tookMs: 1_100,
