Decide streams by a list of endpoints that was just read, and let the soak take streams up

What callers saw (soak): streams that were taken up within moments of a release were joined.

Cause: an endpoint may restart under its id with another software version; hosts learn of it with the next read of the list, which was up to seconds away while a connection to the store was silent.

Change: a stream that is taken up, and a new one while several versions are registered, is decided after the list of endpoints has been read; if that fails, a stream that is taken up is rejected at once. The soak has clients that take streams up, and releases of engines; it judges what clients hold.

--- /dev/null
+++ b/packages/bench/src/soak/endpoint_faults.ts
@@ -0,0 +1,86 @@
+/**
+ * Faults of a soak that end endpoints.
+ * @module
+ */
+import {
+  FIRST_SOFTWARE_VERSION,
+  SECOND_SOFTWARE_VERSION,
+} from "@briarhill/fakes/platform/event_text";
+import type { PlatformStandIn } from "@briarhill/fakes/platform/platform_stand_in";
+import { ATTEMPT_ID, DEADLINE_MS } from "@briarhill/platform/names/headers";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** The body of requests that crash endpoints begins with this text. */
+const CRASH_TEXT = "poison";
+/** How long such a request comes again at least, in milliseconds; above the time in which hosts have to know it. */
+const CRASHING_MS = 5_000;
+const CRASH_DEADLINE_MS = 1_000;
+const CRASH_RETURN_MS = 150;
+
+/**
+ * Sends a request that crashes the endpoints that run it, again and again, to each
+ * host in turn.
+ *
+ * @example
+ * ```ts
+ * declare const platform: PlatformStandIn;
+ *
+ * await sendCrashingRequest(platform, { hosts: 3, forMs: 500, target: 1 });
+ * ```
+ * @param platform - The platform.
+ * @param fault - The number of hosts, the duration and a number that differs for each fault.
+ */
+export async function sendCrashingRequest(
+  platform: PlatformStandIn,
+  fault: {
+    readonly hosts: number;
+    readonly forMs: number;
+    readonly target: number;
+  },
+): Promise<void> {
+  const { hosts, forMs, target } = fault;
+  const text = `${CRASH_TEXT}-${target}`;
+  platform.services.forEach(({ crash }) => crash.text = CRASH_TEXT);
+  const endMs = Date.now() + CRASHING_MS + forMs;
+  for (let count = 0; Date.now() < endMs; count++) {
+    const headers = {
+      [ATTEMPT_ID]: `${text}-${count}`,
+      [DEADLINE_MS]: String(CRASH_DEADLINE_MS),
+    };
+    await platform.call(count % hosts, "POST", "/app/q", {
+      headers,
+      body: text,
+      timeoutMs: 2 * CRASH_DEADLINE_MS,
+    }).catch(() => undefined);
+    await sleep(CRASH_RETURN_MS);
+  }
+}
+
+/**
+ * Ends an engine, and starts it again with the other software version.
+ *
+ * @example
+ * ```ts
+ * declare const platform: PlatformStandIn;
+ *
+ * await releaseSoftware(platform, 1);
+ * ```
+ * @param platform - The platform.
+ * @param target - Selects the engine.
+ */
+export async function releaseSoftware(
+  platform: PlatformStandIn,
+  target: number,
+): Promise<void> {
+  const { engines } = platform;
+  const engine = engines[target % engines.length];
+  if (engine === undefined || engine.crash.isDown) {
+    return;
+  }
+  const restarted = engine.crash.killEndpoint(engine);
+  engine.softwareVersion = engine.softwareVersion === FIRST_SOFTWARE_VERSION
+    ? SECOND_SOFTWARE_VERSION
+    : FIRST_SOFTWARE_VERSION;
+  await restarted;
+  platform.publishEntry(engine);
+}
--- a/packages/edge/src/node/published_state.ts
+++ b/packages/edge/src/node/published_state.ts
@@ -3,6 +3,7 @@
  * the endpoints publish, from the newest record of each key.
  * @module
  */
+import { BriarhillError } from "@briarhill/common/errors/errors";
 import type { SharedLog } from "@briarhill/common/log/shared_log";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
@@ -20,6 +21,9 @@
 /** The pause after a read of endpoint records, in milliseconds: many arrive each second. It is well below the time limit within which a leaving endpoint must be noticed. */
 const ENDPOINT_READ_PAUSE_MS = 350;
 
+/** The age up to which the list of endpoints is used for a decision on a stream, in milliseconds. */
+const MAX_LIST_AGE_MS = 50;
+
 /** Options of {@link PublishedState}. */
 export interface PublishedStateOptions {
   readonly log: SharedLog;
@@ -35,8 +39,10 @@
   readonly #operator: OperatorState;
   readonly #operatorFollower: LogFollower;
   readonly #endpointFollower: LogFollower;
+  readonly #logger: Logger;
 
   constructor(options: PublishedStateOptions) {
+    this.#logger = options.logger;
     const { log, clock, logger, directory } = options;
     this.#operator = new OperatorState(logger, options.onConfiguration);
     const common = { log, clock, logger, fromNewest: true };
@@ -73,6 +79,23 @@
     return this.#endpointFollower.lastFailureAtMs;
   }
 
+  /** Reads the list of endpoints again unless it was just read, and returns whether it is current. */
+  async readEndpoints(): Promise<boolean> {
+    if (this.#endpointFollower.getAgeMs() <= MAX_LIST_AGE_MS) {
+      return true;
+    }
+    try {
+      await this.#endpointFollower.readToEnd();
+      return true;
+    } catch (error) {
+      if (!(error instanceof BriarhillError)) {
+        throw error;
+      }
+      this.#logger.error("endpoints-unreadable", error);
+      return false;
+    }
+  }
+
   /** Starts to follow the topics. */
   start(): void {
     this.#operatorFollower.start();
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -93,7 +93,7 @@
   return buildComponents(context, {
     ...limitComponents,
     ...crashComponents,
-    ...createOriginComponents(context, shared),
+    ...createOriginComponents(context, { ...shared, published }),
     directory,
     published,
   });
--- a/packages/edge/src/origins/create_origin_components.ts
+++ b/packages/edge/src/origins/create_origin_components.ts
@@ -7,6 +7,7 @@
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { ShardOwnership } from "../limits/permit_owner.ts";
 import type { HostContext } from "../node/host_context.ts";
+import type { PublishedState } from "../node/published_state.ts";
 import type { PeerList } from "../peers/peer_list.ts";
 import { SoftwareVersions } from "./software_versions.ts";
 import { StreamOrigins } from "./stream_origins.ts";
@@ -23,6 +24,7 @@
   readonly log: SharedLog;
   readonly peers: PeerList;
   readonly directory: EndpointDirectory;
+  readonly published: PublishedState;
   /** Returns whether this host owns a shard. */
   readonly getOwnership: (shard: number) => ShardOwnership;
 }
@@ -62,6 +64,7 @@
   const streamOrigins = new StreamOrigins({
     ...context,
     directory,
+    readEndpoints: () => options.published.readEndpoints(),
     versions: softwareVersions,
     records,
   });
--- a/packages/edge/src/origins/stream_origins.ts
+++ b/packages/edge/src/origins/stream_origins.ts
@@ -49,6 +49,8 @@
   readonly clock: Clock;
   readonly metrics: HostMetrics;
   readonly directory: EndpointDirectory;
+  /** Reads the list of endpoints, and resolves with whether it is current. */
+  readonly readEndpoints: () => Promise<boolean>;
 }
 
 /** Decides at which endpoints streams may begin or go on. */
@@ -134,7 +136,11 @@
   }
 
   async #decideStart(route: RouteStructure): Promise<StreamPlacement> {
-    const { versions, directory } = this.#options;
+    const { versions, directory, readEndpoints } = this.#options;
+    if (versions.registry.listVersions(listServices(route)).length > 1) {
+      // An outdated list is used nevertheless: endpoints seldom change their version.
+      await readEndpoints();
+    }
     const endpoints = listServices(route).flatMap((service) =>
       directory.listEndpoints(service)
     );
@@ -169,12 +175,13 @@
     head: RequestHead,
     route: RouteStructure,
   ): Promise<StreamPlacement> {
-    const { directory } = this.#options;
+    const { directory, readEndpoints } = this.#options;
+    const isListCurrent = await readEndpoints();
     const origin = await this.#finder.findOrigin(
       head.resumedAttemptId,
       listServices(route),
     );
-    if (origin === undefined) {
+    if (origin === undefined || !isListCurrent) {
       return createRejection("unknown-origin", UNKNOWN_RETRY_MS);
     }
     const accepts = (endpoint: EndpointStructure) =>
--- a/packages/fakes/src/platform/client_stream.ts
+++ b/packages/fakes/src/platform/client_stream.ts
@@ -46,6 +46,11 @@
     this.#options = options;
   }
 
+  /** The id of the stream. */
+  get id(): string {
+    return this.#options.id;
+  }
+
   /** The data of the events received so far, one per line. */
   get text(): string {
     return this.#texts.join("\n");
--- a/packages/fakes/src/platform/event_text.ts
+++ b/packages/fakes/src/platform/event_text.ts
@@ -5,6 +5,8 @@
 
 /** The version of endpoint stand-ins until it is set. */
 export const FIRST_SOFTWARE_VERSION = "v1";
+/** A version whose texts don't fit to those of the first one. */
+export const SECOND_SOFTWARE_VERSION = "v2";
 
 /**
  * Returns the data of an event.
--- a/packages/fakes/src/platform/platform_stand_in.ts
+++ b/packages/fakes/src/platform/platform_stand_in.ts
@@ -8,7 +8,11 @@
   OPERATOR_TOPIC,
 } from "@briarhill/platform/names/topics";
 import { EndpointStandIn } from "./endpoint_stand_in.ts";
-import { FIRST_SOFTWARE_VERSION, formatText } from "./event_text.ts";
+import {
+  FIRST_SOFTWARE_VERSION,
+  formatText,
+  SECOND_SOFTWARE_VERSION,
+} from "./event_text.ts";
 import { HostClient } from "./host_client.ts";
 import { createConfiguration } from "./platform_configuration.ts";
 import { PlatformLinks } from "./platform_links.ts";
@@ -86,11 +90,19 @@
     return [...this.engines, ...this.services];
   }
 
-  /** The output of every complete sample. */
+  /** The text of complete samples and streams of the first software version. */
   get completeText(): string {
     return formatText(FIRST_SOFTWARE_VERSION, EVENTS_PER_SAMPLE);
   }
 
+  /** The texts of complete samples and streams, one for each software version. */
+  get completeTexts(): readonly string[] {
+    return [
+      this.completeText,
+      formatText(SECOND_SOFTWARE_VERSION, EVENTS_PER_SAMPLE),
+    ];
+  }
+
   /** Publishes the next version of the configuration. */
   publishConfiguration(): void {
     this.store.publish(
@@ -140,11 +152,20 @@
       if (endpoint.crash.isDown) {
         continue;
       }
-      const { id } = endpoint.options;
-      this.store.publish(ENDPOINT_TOPIC, id, endpoint.createEntry());
+      this.publishEntry(endpoint);
     }
   }
 
+  /**
+   * Publishes the next entry of an endpoint.
+   *
+   * @param endpoint - The endpoint.
+   */
+  publishEntry(endpoint: EndpointStandIn): void {
+    const { id } = endpoint.options;
+    this.store.publish(ENDPOINT_TOPIC, id, endpoint.createEntry());
+  }
+
   /**
    * Returns the settings of a host as INI text.
    *
