Keep the record of a stream after it was sent, and confirm endpoints while their list is outdated

What callers saw (soak): streams begun at the second version went on at the first one after a host had sent them to their end.

Cause: the host removed the record of a stream once it had written the whole response, but a client that breaks off early holds only a part of it; without a record the stream counted as begun at the first version.

Change: records are removed by age only, by one host. While the list of endpoints is older than 400 ms, an endpoint has to report the start time that is listed before it gets a stream or sample: this closes the same hole for an endpoint that restarts with another version during a store outage, seen by reasoning only.

--- a/packages/edge/src/calls/live_streams.ts
+++ b/packages/edge/src/calls/live_streams.ts
@@ -12,7 +12,7 @@
   GuardedEnd,
   GuardedRequest,
 } from "../crashes/crash_guard.ts";
-import type { Rejection } from "../limits/endpoint_admission.ts";
+import type { Admission, Rejection } from "../limits/endpoint_admission.ts";
 import {
   type AcceptedPlacement,
   type StreamOrigins,
@@ -80,9 +80,6 @@
       tried,
       signal,
     );
-    if (outcome === "whole") {
-      this.#options.streamOrigins.removeStream(head);
-    }
     if (outcome === "not-run" || outcome === "unknown") {
       writeStreamFailure(exchange, outcome, rejection);
     }
@@ -121,48 +118,39 @@
       readonly signal: AbortSignal;
     },
   ): Promise<StreamReport> {
-    const { route } = exchange;
+    const { route, head } = exchange;
+    const { streamOrigins, forwarder } = this.#options;
     const guarded = createGuarded(exchange);
+    const request = { purpose: "stream", guarded, isHedge: false } as const;
     let outcome: StreamOutcome = "not-run";
     while (outcome === "not-run" && tried.size < route.maxAttempts) {
-      const admission = await this.#options.forwarder.admitAttempt(route, {
-        purpose: "stream",
-        guarded,
+      const admission = await forwarder.admitAttempt(route, {
+        ...request,
         placement,
         tried,
-        isHedge: false,
         signal,
       });
       if (admission.kind === "rejected") {
         return { outcome, rejection: admission };
       }
-      const isUsable = admission.kind === "admitted" &&
-        !tried.has(admission.endpoint.id) && !signal.aborted;
-      if (!isUsable) {
+      const endpoint = getUntried(admission, tried);
+      if (endpoint === undefined || signal.aborted) {
         break;
       }
-      const { endpoint } = admission;
       tried.add(endpoint.id);
-      if (!await this.#recordStart(exchange, placement, endpoint)) {
+      const isRecorded = await streamOrigins.recordStart(head.attemptId, {
+        route,
+        endpoint,
+        isResumption: placement.kind === "goes-on",
+      });
+      if (!isRecorded) {
         return { outcome, rejection: UNRECORDED_REJECTION };
       }
-      const attempt = { guarded, endpoint, signal };
-      outcome = await this.#runGuarded(exchange, attempt);
+      outcome = await this.#runGuarded(exchange, { guarded, endpoint, signal });
     }
     return { outcome };
   }
 
-  /** Returns whether a stream may begin at an endpoint; one that goes on keeps its record. */
-  async #recordStart(
-    { head, route }: RoutedExchange,
-    { kind }: AcceptedPlacement,
-    endpoint: EndpointStructure,
-  ): Promise<boolean> {
-    const { streamOrigins } = this.#options;
-    return kind === "goes-on" ||
-      await streamOrigins.recordStart(head.attemptId, { route, endpoint });
-  }
-
   async #runGuarded(
     exchange: RoutedExchange,
     { guarded, endpoint, signal }: StreamAttempt,
@@ -208,6 +196,15 @@
   }
 }
 
+function getUntried(
+  admission: Admission,
+  tried: ReadonlySet<string>,
+): EndpointStructure | undefined {
+  return admission.kind === "admitted" && !tried.has(admission.endpoint.id)
+    ? admission.endpoint
+    : undefined;
+}
+
 function createGuarded(
   { request, head, body }: RoutedExchange,
 ): GuardedRequest {
--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -9,6 +9,7 @@
 import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { RouteStructure } from "@briarhill/routing/table/route";
+import type { IncarnationCheck } from "../endpoints/incarnation_check.ts";
 import type { EndpointSender } from "../calls/endpoint_sender.ts";
 import type { EndpointAdmission } from "../limits/endpoint_admission.ts";
 import type { HostMetrics } from "../observe/host_metrics.ts";
@@ -34,6 +35,7 @@
   readonly picker: EnginePicker;
   readonly admission: EndpointAdmission;
   readonly metrics: HostMetrics;
+  readonly incarnations: IncarnationCheck;
 }
 
 /** One attempt at a sample on one engine. */
@@ -144,20 +146,33 @@
       moves,
       abort: new AbortController(),
     };
-    task.startAttempt(endpoint.softwareVersion);
     this.#attempts.set(task.request.id, attempt);
-    const report = await runGeneration({
+    const report = await this.#generate(attempt);
+    this.#attempts.delete(task.request.id);
+    this.#recordAttempt(attempt, report);
+    return report;
+  }
+
+  async #generate(
+    { task, endpoint, abort }: SampleAttempt,
+  ): Promise<GenerationReport> {
+    const { incarnations } = this.#options;
+    // With a current list the attempt is sent at once.
+    const isConfirmed = incarnations.isListCurrent ||
+      await incarnations.isConfirmed(endpoint);
+    if (!isConfirmed) {
+      return { end: "refused", reason: "incarnation-unconfirmed" };
+    }
+    task.startAttempt(endpoint.softwareVersion);
+    return await runGeneration({
       ...this.#options,
       lot: this.#lot.request,
       task,
       endpoint,
       urgency: DEFAULT_URGENCY,
       deadlineMs: ATTEMPT_TIMEOUT_MS,
-      signal: attempt.abort.signal,
+      signal: abort.signal,
     });
-    this.#attempts.delete(task.request.id);
-    this.#recordAttempt(attempt, report);
-    return report;
   }
 
   #takeTarget({ request }: SampleTask): EndpointStructure | undefined {
--- a/packages/edge/src/node/published_state.ts
+++ b/packages/edge/src/node/published_state.ts
@@ -21,9 +21,6 @@
 /** The pause after a read of endpoint records, in milliseconds: many arrive each second. It is well below the time limit within which a leaving endpoint must be noticed. */
 const ENDPOINT_READ_PAUSE_MS = 350;
 
-/** The age up to which the list of endpoints is used for a decision on a stream, in milliseconds. */
-const MAX_LIST_AGE_MS = 50;
-
 /** Options of {@link PublishedState}. */
 export interface PublishedStateOptions {
   readonly log: SharedLog;
@@ -79,20 +76,20 @@
     return this.#endpointFollower.lastFailureAtMs;
   }
 
-  /** Reads the list of endpoints again unless it was just read, and returns whether it is current. */
-  async readEndpoints(): Promise<boolean> {
-    if (this.#endpointFollower.getAgeMs() <= MAX_LIST_AGE_MS) {
-      return true;
-    }
+  /** Returns the time since the list of endpoints was last read to its end, in milliseconds. */
+  getEndpointListAgeMs(): number {
+    return this.#endpointFollower.getAgeMs();
+  }
+
+  /** Reads the list of endpoints to its end; logs a failure, which shows in its age. */
+  async readEndpoints(): Promise<void> {
     try {
       await this.#endpointFollower.readToEnd();
-      return true;
     } catch (error) {
       if (!(error instanceof BriarhillError)) {
         throw error;
       }
       this.#logger.error("endpoints-unreadable", error);
-      return false;
     }
   }
 
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -11,6 +11,7 @@
   createCrashComponents,
 } from "../crashes/create_crash_components.ts";
 import { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
+import { IncarnationCheck } from "../endpoints/incarnation_check.ts";
 import {
   createLimitComponents,
   type LimitComponents,
@@ -34,6 +35,7 @@
   readonly published: PublishedState;
   readonly sender: EndpointSender;
   readonly forwarder: CallForwarder;
+  readonly incarnations: IncarnationCheck;
   /** Follow what other hosts write to the shared log. */
   readonly followers: readonly {
     readonly start: () => void;
@@ -41,6 +43,11 @@
   }[];
 }
 
+type ServingParts =
+  & LimitComponents
+  & CrashComponents
+  & Pick<ServingComponents, "directory" | "published">;
+
 /** Options of {@link createServingComponents}. */
 export interface ServingOptions {
   readonly log: SharedLog;
@@ -90,24 +97,40 @@
     context,
     shared,
   );
-  return buildComponents(context, {
+  const parts = {
     ...limitComponents,
     ...crashComponents,
-    ...createOriginComponents(context, { ...shared, published }),
     directory,
     published,
-  });
+  };
+  return buildComponents(context, { ...options, parts });
 }
 
 function buildComponents(
   context: HostContext,
-  parts: Omit<ServingComponents, "sender" | "forwarder" | "followers">,
+  options: ServingOptions & {
+    readonly parts: ServingParts;
+  },
 ): ServingComponents {
-  const { published, sharedLimits, sharedCrashes, softwareVersions } = parts;
+  const { parts } = options;
+  const { published, sharedLimits, sharedCrashes } = parts;
   const sender = createSender(context, parts);
+  const incarnations = new IncarnationCheck({
+    ...context,
+    sender,
+    getListAgeMs: () => published.getEndpointListAgeMs(),
+  });
+  const origins = createOriginComponents(context, {
+    ...options,
+    ...parts,
+    incarnations,
+  });
+  const { softwareVersions } = origins;
   return {
     ...parts,
+    ...origins,
     sender,
+    incarnations,
     followers: [published, sharedLimits, sharedCrashes, softwareVersions],
     forwarder: new CallForwarder({ ...context, ...parts, sender }),
   };
--- a/packages/edge/src/origins/create_origin_components.ts
+++ b/packages/edge/src/origins/create_origin_components.ts
@@ -4,6 +4,8 @@
  */
 import { hashText } from "@briarhill/common/hashing/rendezvous";
 import type { SharedLog } from "@briarhill/common/log/shared_log";
+import type { IncarnationCheck } from "../endpoints/incarnation_check.ts";
+import { STREAM_TOPIC } from "@briarhill/platform/names/topics";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { ShardOwnership } from "../limits/permit_owner.ts";
 import type { HostContext } from "../node/host_context.ts";
@@ -25,6 +27,7 @@
   readonly peers: PeerList;
   readonly directory: EndpointDirectory;
   readonly published: PublishedState;
+  readonly incarnations: IncarnationCheck;
   /** Returns whether this host owns a shard. */
   readonly getOwnership: (shard: number) => ShardOwnership;
 }
@@ -53,17 +56,19 @@
     log,
     countHosts: () => peers.listPeers().length + 1,
   });
+  const isOwner = (key: string) =>
+    getOwnership(hashText(key) % storePartitions) === "confirmed";
   const softwareVersions = new SoftwareVersions({
     ...context,
     log,
     directory,
-    isOwner: (service) =>
-      getOwnership(hashText(service) % storePartitions) === "confirmed",
-    onPruned: () => records.pruneStreams(),
+    isOwner,
+    onPruned: () => isOwner(STREAM_TOPIC) && void records.pruneStreams(),
   });
   const streamOrigins = new StreamOrigins({
     ...context,
     directory,
+    incarnations: options.incarnations,
     readEndpoints: () => options.published.readEndpoints(),
     versions: softwareVersions,
     records,
--- a/packages/edge/src/origins/origin_finder.ts
+++ b/packages/edge/src/origins/origin_finder.ts
@@ -52,15 +52,6 @@
     }
   }
 
-  /**
-   * Forgets a stream, and returns whether this host had recorded it.
-   *
-   * @param attemptId - The client attempt that began it.
-   */
-  removeLocal(attemptId: string): boolean {
-    return this.#local.delete(attemptId);
-  }
-
   /**
    * Returns where a stream has begun, or undefined if this host can't know.
    *
--- a/packages/edge/src/origins/stream_origins.ts
+++ b/packages/edge/src/origins/stream_origins.ts
@@ -12,6 +12,7 @@
   type ServiceVersion,
 } from "@briarhill/routing/origins/version_registry";
 import type { RouteStructure } from "@briarhill/routing/table/route";
+import type { IncarnationCheck } from "../endpoints/incarnation_check.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { Rejection } from "../limits/endpoint_admission.ts";
 import type { HostMetrics } from "../observe/host_metrics.ts";
@@ -49,8 +50,9 @@
   readonly clock: Clock;
   readonly metrics: HostMetrics;
   readonly directory: EndpointDirectory;
-  /** Reads the list of endpoints, and resolves with whether it is current. */
-  readonly readEndpoints: () => Promise<boolean>;
+  readonly incarnations: IncarnationCheck;
+  /** Reads the list of endpoints to its end. */
+  readonly readEndpoints: () => Promise<void>;
 }
 
 /** Decides at which endpoints streams may begin or go on. */
@@ -86,8 +88,9 @@
   }
 
   /**
-   * Records at which endpoint a stream is about to begin, if a record is needed,
-   * and resolves with whether it may begin there.
+   * Confirms the software version of the endpoint at which a stream is about to
+   * begin or go on, records it if a record is needed, and resolves with whether the
+   * stream may be sent there.
    *
    * @param attemptId - The client attempt.
    * @param route - The route.
@@ -95,7 +98,9 @@
    */
   async recordStart(
     attemptId: string,
-    { route, endpoint }: {
+    { route, endpoint, isResumption }: {
+      /** Whether the stream goes on, so that it keeps its record. */
+      readonly isResumption: boolean;
       readonly route: RouteStructure;
       readonly endpoint: EndpointStructure;
     },
@@ -104,7 +109,13 @@
       return true;
     }
     const origin = getOrigin(endpoint);
-    const { versions, records } = this.#options;
+    const { versions, records, incarnations } = this.#options;
+    if (!await incarnations.isConfirmed(endpoint)) {
+      return false;
+    }
+    if (isResumption) {
+      return true;
+    }
     // A record of an earlier try of the same attempt has to be replaced.
     const isNeeded = this.#finder.hasLocal(attemptId) ||
       versions.registry.isRecordNeeded(origin, listServices(route));
@@ -123,22 +134,9 @@
     return isWritten;
   }
 
-  /**
-   * Removes the record of a stream that its client has received completely.
-   *
-   * @param head - The head of the client's request.
-   */
-  removeStream({ attemptId, resumedAttemptId }: RequestHead): void {
-    const beganBy = resumedAttemptId === "" ? attemptId : resumedAttemptId;
-    if (this.#finder.removeLocal(beganBy)) {
-      this.#options.records.removeStream(beganBy);
-    }
-  }
-
   async #decideStart(route: RouteStructure): Promise<StreamPlacement> {
     const { versions, directory, readEndpoints } = this.#options;
     if (versions.registry.listVersions(listServices(route)).length > 1) {
-      // An outdated list is used nevertheless: endpoints seldom change their version.
       await readEndpoints();
     }
     const endpoints = listServices(route).flatMap((service) =>
@@ -176,12 +174,12 @@
     route: RouteStructure,
   ): Promise<StreamPlacement> {
     const { directory, readEndpoints } = this.#options;
-    const isListCurrent = await readEndpoints();
+    await readEndpoints();
     const origin = await this.#finder.findOrigin(
       head.resumedAttemptId,
       listServices(route),
     );
-    if (origin === undefined || !isListCurrent) {
+    if (origin === undefined) {
       return createRejection("unknown-origin", UNKNOWN_RETRY_MS);
     }
     const accepts = (endpoint: EndpointStructure) =>
--- a/packages/edge/src/origins/stream_records.ts
+++ b/packages/edge/src/origins/stream_records.ts
@@ -82,15 +82,6 @@
     return this.#append(attemptId, value);
   }
 
-  /**
-   * Removes the record of a stream that its client has received completely.
-   *
-   * @param attemptId - The client attempt that began the stream.
-   */
-  removeStream(attemptId: string): void {
-    void this.#append(attemptId, Buffer.alloc(0));
-  }
-
   /**
    * Returns the record of a stream, or undefined if it has none. Throws a
    * `PortError` if the log can't be read.
@@ -102,12 +93,23 @@
     return this.#streams.get(attemptId);
   }
 
-  /** Removes the records of streams that can't be taken up any more. */
-  pruneStreams(): void {
+  /**
+   * Removes the records of streams that can't be taken up any more. A record stays
+   * after its stream was sent completely, as the client may not have received it.
+   */
+  async pruneStreams(): Promise<void> {
+    try {
+      await this.#follower.readToEnd();
+    } catch (error) {
+      if (!(error instanceof BriarhillError)) {
+        throw error;
+      }
+      this.#options.logger.error("stream-records-unreadable", error);
+    }
     const nowMs = this.#options.clock.getWallMs();
     for (const [attemptId, { beganAtMs }] of this.#streams) {
       if (nowMs - beganAtMs > STREAM_RETENTION_MS) {
-        this.removeStream(attemptId);
+        void this.#append(attemptId, Buffer.alloc(0));
       }
     }
   }
