--- a/packages/edge/src/origins/stream_origins.ts
+++ b/packages/edge/src/origins/stream_origins.ts
@@ -95,6 +95,7 @@
    * @param attemptId - The client attempt.
    * @param route - The route.
    * @param endpoint - The endpoint.
+   * @param isResumption - Whether the stream goes on.
    */
   async recordStart(
     attemptId: string,
