Confirm an endpoint that has failed before it gets a stream

Cause: an engine ended and restarted under its id with another version. Hosts had just lost requests to it, but sent it a stream within milliseconds of its restart by the version that was listed.

Ruled out: records (the streams were begun 0.1 and 0.5 s before the second version was registered); the store.

Change: an endpoint that has failed since it last served reports its start time before it gets a stream or sample, as it does while the list is outdated. A host that has not noticed the end can still be wrong until it reads the list.

Tests of origins, lots, limits, crashes and routing: 176 passed, 0 failed.

--- a/packages/edge/src/endpoints/incarnation_check.ts
+++ b/packages/edge/src/endpoints/incarnation_check.ts
@@ -10,6 +10,7 @@
   encodeReportCall,
 } from "@briarhill/platform/engine/engine_calls";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
+import type { EndpointDirectory } from "./endpoint_directory.ts";
 import type { EndpointSender } from "../calls/endpoint_sender.ts";
 
 /** The age up to which the list of endpoints is trusted, in milliseconds; entries of some endpoint arrive several times a second. */
@@ -22,6 +23,7 @@
 export interface IncarnationCheckOptions {
   readonly logger: Logger;
   readonly sender: EndpointSender;
+  readonly directory: EndpointDirectory;
   /** Returns the time since the list of endpoints was last read to its end, in milliseconds. */
   readonly getListAgeMs: () => number;
 }
@@ -34,19 +36,26 @@
     this.#options = options;
   }
 
-  /** Whether the list was read recently enough to be trusted. */
-  get isListCurrent(): boolean {
-    return this.#options.getListAgeMs() <= MAX_LIST_AGE_MS;
+  /**
+   * Returns whether the list can be trusted for an endpoint: it was read recently,
+   * and the endpoint has not failed since it last served.
+   *
+   * @param endpoint - The endpoint as it is listed.
+   */
+  isListed({ id }: EndpointStructure): boolean {
+    const { getListAgeMs, directory } = this.#options;
+    return getListAgeMs() <= MAX_LIST_AGE_MS &&
+      !directory.endpointPicker.getLoad(id).hasFailed;
   }
 
   /**
    * Returns whether an endpoint is the incarnation that is listed, by its own
-   * report if the list is outdated.
+   * report if the list can't be trusted.
    *
    * @param endpoint - The endpoint as it is listed.
    */
   async isConfirmed(endpoint: EndpointStructure): Promise<boolean> {
-    return this.isListCurrent || await this.#isReported(endpoint);
+    return this.isListed(endpoint) || await this.#isReported(endpoint);
   }
 
   async #isReported(endpoint: EndpointStructure): Promise<boolean> {
--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -157,8 +157,8 @@
     { task, endpoint, abort }: SampleAttempt,
   ): Promise<GenerationReport> {
     const { incarnations } = this.#options;
-    // With a current list the attempt is sent at once.
-    const isConfirmed = incarnations.isListCurrent ||
+    // An attempt that needs no report is sent at once.
+    const isConfirmed = incarnations.isListed(endpoint) ||
       await incarnations.isConfirmed(endpoint);
     if (!isConfirmed) {
       return { end: "refused", reason: "incarnation-unconfirmed" };
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -117,6 +117,7 @@
   const sender = createSender(context, parts);
   const incarnations = new IncarnationCheck({
     ...context,
+    ...parts,
     sender,
     getListAgeMs: () => published.getEndpointListAgeMs(),
   });
--- a/packages/routing/src/endpoints/endpoint_load.ts
+++ b/packages/routing/src/endpoints/endpoint_load.ts
@@ -153,6 +153,11 @@
     return Math.max(this.#inFlight, this.#reportedRequests + sinceReport);
   }
 
+  /** Whether the last request failed without a response, so that the endpoint may have restarted. */
+  get hasFailed(): boolean {
+    return this.#failures > 0;
+  }
+
   /**
    * Returns how long no connection is to be tried because the endpoint has just
    * accepted none, in milliseconds; 0 if one may be tried.
