Log and share which services a host does not reach

Cause: the logs could not tell a host whose links are lost from one that tries badly or from endpoints that are overloaded: a connection that is not established left no line, and nothing said what other hosts reach.

Ruled out: probing all the time (probes and connections are priced); deciding by lost requests alone (a slow endpoint looks the same).

Change: requests that fail or stall without an answer from their service cause a round of probes over new connections; a service of which no endpoint answers is logged, counted and told to the other hosts (keyed.reach), which confirm what they reach themselves. Nothing is decided by it yet but pauses of endpoints, which end when the service is regained.

--- a/packages/edge/src/calls/endpoint_sender.ts
+++ b/packages/edge/src/calls/endpoint_sender.ts
@@ -23,6 +23,8 @@
   getEndpointOutcome,
 } from "./endpoint_failure.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
+import type { ReachMonitor } from "../reach/reach_monitor.ts";
+import { ExchangeWatch } from "../reach/exchange_watch.ts";
 import type {
   ObservedLimits,
   RequestPurpose,
@@ -42,6 +44,7 @@
   readonly clock: Clock;
   readonly directory: EndpointDirectory;
   readonly limits: ObservedLimits;
+  readonly reach: ReachMonitor;
   /** The maximum size of a response that is buffered completely, in bytes. */
   readonly maxAnswerBytes: number;
 }
@@ -70,6 +73,7 @@
 /** Sends single requests to endpoints and records their outcomes in the loads of the endpoints. */
 export class EndpointSender {
   readonly #options: EndpointSenderOptions;
+  readonly #watch: ExchangeWatch;
   readonly #sender = new HttpSender({
     port: "endpoint",
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -80,6 +84,7 @@
 
   constructor(options: EndpointSenderOptions) {
     this.#options = options;
+    this.#watch = new ExchangeWatch(options);
   }
 
   /**
@@ -127,9 +132,11 @@
     const load = directory.endpointPicker.getLoad(request.endpoint.id);
     load.addRequest();
     let outcome: EndpointOutcome | "cancelled" = "broken";
+    const watched = this.#watch.addExchange(request.endpoint.service);
     try {
       const checked = await this.#open(request)
         .finally(() => load.removeUnanswered());
+      watched.setResponse(checked.head.stream);
       const { requests, isRefused } = checked.answer;
       if (requests !== undefined) {
         load.setReportedRequests(requests, clock.getMonotonicMs());
@@ -139,8 +146,10 @@
       return result;
     } catch (error) {
       outcome = getEndpointOutcome(error, request.signal);
+      watched.addError(error, request.signal);
       throw error;
     } finally {
+      watched.close();
       load.removeRequest(outcome, clock.getMonotonicMs());
     }
   }
@@ -170,18 +179,24 @@
       sentAtMs: clock.getMonotonicMs(),
       purpose: "control" as const,
     };
+    const watched = this.#watch.addExchange(endpoint.service);
     const answer = await this.#sender.send({
       address,
       ...call,
       headers: ["Host", `${address.hostname}:${address.port}`, ...call.headers],
       headTimeoutMs: timeoutMs,
-    }, timeoutMs);
+    }, timeoutMs).catch((error: unknown) => {
+      watched.addError(error);
+      throw error;
+    }).finally(() => watched.close());
+    this.#options.reach.addAnswer(endpoint.service);
     this.#applyHead(endpoint, decodeEndpointResponse(answer), sent);
     return answer;
   }
 
   /** Closes all connections to endpoints. */
   close(): void {
+    this.#watch.close();
     this.#sender.close();
   }
 
@@ -202,6 +217,7 @@
     head.stream.on("close", () => {
       request.signal.removeEventListener("abort", destroyStream);
     });
+    this.#options.reach.addAnswer(endpoint.service);
     const answer = decodeEndpointResponse(head);
     this.#applyHead(endpoint, answer, sent);
     if (answer.attemptId !== attemptId && !answer.isOtherEndpoint) {
--- a/packages/edge/src/endpoints/endpoint_directory.ts
+++ b/packages/edge/src/endpoints/endpoint_directory.ts
@@ -102,6 +102,18 @@
     return this.#table.getUsable(id);
   }
 
+  /**
+   * Forgets the failures of the endpoints of a service, as they were those of this
+   * host's links.
+   *
+   * @param service - The name of the service.
+   */
+  clearFailures(service: string): void {
+    this.listEndpoints(service).forEach(({ id }) =>
+      this.endpointPicker.getLoad(id).clearFailures()
+    );
+  }
+
   #applyEntry(id: string, value: LogRecord["value"]): void {
     const { logger } = this.#options;
     try {
--- a/packages/edge/src/log/shared_records.ts
+++ b/packages/edge/src/log/shared_records.ts
@@ -23,6 +23,8 @@
   readonly place: LogPartition;
   /** The maximum wait of one long-polling read, in milliseconds; a silent connection is noticed after it. */
   readonly readWaitMs: number;
+  /** The pause after a read that returned records, in milliseconds; 0 for none. */
+  readonly readPauseMs?: number;
   /** The minimum interval between two appends of this host, in milliseconds. */
   readonly appendIntervalMs: number;
   /** Whether records are appended again until the log has taken them. */
@@ -45,7 +47,7 @@
       ...options,
       fromNewest: true,
       waitMs: options.readWaitMs,
-      pauseMs: 0,
+      pauseMs: options.readPauseMs ?? 0,
       onSnapshot: options.onRecords,
     });
   }
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -105,6 +105,8 @@
     });
     await this.#metrics.start(metrics);
     this.#serving.followers.forEach((follower) => follower.start());
+    const { reach, sharedReach } = this.#serving;
+    sharedReach.publishReach(reach.createRecord());
     this.#store.peers.start();
     this.#training.owner.start();
     this.#training.cleaner.start();
@@ -135,6 +137,7 @@
     const endMs = startMs + this.#settings.graceMs - EXIT_MARGIN_MS;
     this.#logger.info("host-stopping", { open: this.#ingress.openRequests });
     const { orders, owner, lease, cleaner } = this.#training;
+    this.#serving.sharedReach.removeOwn();
     orders.stop();
     cleaner.stop();
     await Promise.all([owner.stop(), lease.stop()]);
@@ -159,6 +162,7 @@
     this.#training.claims.close();
     this.#training.partitions.stop();
     this.#serving.followers.forEach((follower) => follower.stop());
+    this.#serving.reach.stop();
     this.#serving.permits.close();
     this.#serving.sender.close();
     this.#store.transport.close();
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -21,6 +21,10 @@
   createOriginComponents,
   type OriginComponents,
 } from "../origins/create_origin_components.ts";
+import {
+  createReachComponents,
+  type ReachComponents,
+} from "../reach/create_reach_components.ts";
 import type { PeerList } from "../peers/peer_list.ts";
 import type { HostContext } from "./host_context.ts";
 import { PublishedState } from "./published_state.ts";
@@ -30,7 +34,7 @@
 
 /** The components of a host that send requests to endpoints. */
 export interface ServingComponents
-  extends LimitComponents, CrashComponents, OriginComponents {
+  extends LimitComponents, CrashComponents, OriginComponents, ReachComponents {
   readonly directory: EndpointDirectory;
   readonly published: PublishedState;
   readonly sender: EndpointSender;
@@ -46,6 +50,7 @@
 type ServingParts =
   & LimitComponents
   & CrashComponents
+  & ReachComponents
   & Pick<ServingComponents, "directory" | "published">;
 
 /** Options of {@link createServingComponents}. */
@@ -100,6 +105,10 @@
   const parts = {
     ...limitComponents,
     ...crashComponents,
+    ...createReachComponents(context, {
+      ...shared,
+      getTable: () => published.table,
+    }),
     directory,
     published,
   };
@@ -113,7 +122,7 @@
   },
 ): ServingComponents {
   const { parts } = options;
-  const { published, sharedLimits, sharedCrashes } = parts;
+  const { published, sharedLimits, sharedCrashes, sharedReach } = parts;
   const sender = createSender(context, parts);
   const incarnations = new IncarnationCheck({
     ...context,
@@ -132,7 +141,13 @@
     ...origins,
     sender,
     incarnations,
-    followers: [published, sharedLimits, sharedCrashes, softwareVersions],
+    followers: [
+      published,
+      sharedLimits,
+      sharedCrashes,
+      sharedReach,
+      softwareVersions,
+    ],
     forwarder: new CallForwarder({ ...context, ...parts, sender }),
   };
 }
@@ -142,6 +157,7 @@
   options: {
     readonly directory: EndpointDirectory;
     readonly limits: LimitComponents["limits"];
+    readonly reach: ReachComponents["reach"];
   },
 ): EndpointSender {
   return new EndpointSender({
--- a/packages/edge/src/observe/host_metrics.ts
+++ b/packages/edge/src/observe/host_metrics.ts
@@ -110,6 +110,15 @@
     this.#counters.addOne("crash_decisions_total", kind);
   }
 
+  /**
+   * Counts a service that this host has lost or regained.
+   *
+   * @param change - "lost" or "regained".
+   */
+  addReachChange(change: string): void {
+    this.#counters.addOne("reach_changes_total", change);
+  }
+
   /**
    * Counts a decision where a stream that a client takes up goes on, or the rejection of a stream.
    *
--- /dev/null
+++ b/packages/edge/src/reach/service_probe.ts
@@ -0,0 +1,61 @@
+/**
+ * Probes some endpoints of a service over new connections.
+ * @module
+ */
+import type { SeededRandom } from "@briarhill/common/random/seeded_random";
+import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
+import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
+import { probeEndpoint } from "./reach_probe.ts";
+
+/** Maximum number of endpoints that one round probes. */
+const PROBES_PER_ROUND = 3;
+
+/** Options of {@link ServiceProbe}. */
+export interface ServiceProbeOptions {
+  readonly random: SeededRandom;
+  readonly directory: EndpointDirectory;
+  /** Returns the path of the health check of a service. */
+  readonly getHealthPath: (service: string) => string;
+}
+
+/** Probes services. */
+export class ServiceProbe {
+  readonly #options: ServiceProbeOptions;
+
+  constructor(options: ServiceProbeOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Probes some endpoints of a service at once, and returns how many were probed and
+   * how many answered.
+   *
+   * @param service - The service.
+   */
+  async probeService(
+    service: string,
+  ): Promise<{ readonly probed: number; readonly reached: number }> {
+    const path = this.#options.getHealthPath(service);
+    const endpoints = this.#pickEndpoints(service);
+    const results = await Promise.all(
+      endpoints.map(({ address }) => probeEndpoint(address, path)),
+    );
+    const reached = results.filter((isReached) => isReached).length;
+    return { probed: endpoints.length, reached };
+  }
+
+  /** Endpoints of different failure domains come first, as one domain may be lost alone. */
+  #pickEndpoints(service: string): readonly EndpointStructure[] {
+    const { directory, random } = this.#options;
+    const shuffled = directory.listEndpoints(service)
+      .map((endpoint) => ({ endpoint, rank: random.getFloat() }))
+      .toSorted((first, second) => first.rank - second.rank)
+      .map(({ endpoint }) => endpoint);
+    const firstOfDomain = shuffled.filter(({ failureDomain }, index) =>
+      shuffled.findIndex((other) => other.failureDomain === failureDomain) ===
+        index
+    );
+    return [...new Set([...firstOfDomain, ...shuffled])]
+      .slice(0, PROBES_PER_ROUND);
+  }
+}
--- a/packages/edge/test/calls/call_forwarder_test.ts
+++ b/packages/edge/test/calls/call_forwarder_test.ts
@@ -31,7 +31,7 @@
 describe("CallForwarder.forward", () => {
   /** A refused connection is no attempt; calls repeated it each millisecond until their deadline. */
   it("rejects calls at once while all endpoints refuse connections, with few connection attempts", async () => {
-    const { clock, forwarder, sender } = createForwarder(
+    const { clock, forwarder, sender, reach } = createForwarder(
       await listClosedPorts(3),
     );
     const startMs = clock.getMonotonicMs();
@@ -45,6 +45,7 @@
     }
     const tookMs = clock.getMonotonicMs() - startMs;
     sender.close();
+    reach.stop();
     for (const { outcome } of reports) {
       assert.equal(outcome.kind, "refused");
       assert.ok(outcome.kind === "refused" && outcome.retryAfterMs);
--- a/packages/edge/test/calls/sender_fixture.ts
+++ b/packages/edge/test/calls/sender_fixture.ts
@@ -10,6 +10,7 @@
 import { EndpointDirectory } from "../../src/endpoints/endpoint_directory.ts";
 import { ObservedLimits } from "../../src/limits/observed_limits.ts";
 import { HostMetrics } from "../../src/observe/host_metrics.ts";
+import { ReachMonitor } from "../../src/reach/reach_monitor.ts";
 
 export const MAX_ANSWER_BYTES = 1_048_576;
 export const TIMEOUT_MS = 600;
@@ -34,13 +35,24 @@
     metrics: new HostMetrics(),
     onChange: () => undefined,
   });
+  const reach = new ReachMonitor({
+    clock,
+    logger: Logger.create({}),
+    metrics: new HostMetrics(),
+    random: new SeededRandom(1),
+    directory,
+    local: { host: "127.0.0.2", failureDomain: "a" },
+    getHealthPath: () => "/",
+    onChange: () => undefined,
+  });
   const sender = new EndpointSender({
     clock,
     directory,
     limits,
+    reach,
     maxAnswerBytes: MAX_ANSWER_BYTES,
   });
-  return { clock, directory, limits, sender };
+  return { clock, directory, limits, reach, sender };
 }
 
 export function createEndpoint(port: number): EndpointStructure {
--- a/packages/platform/src/names/topics.ts
+++ b/packages/platform/src/names/topics.ts
@@ -22,6 +22,8 @@
 export const VERSION_TOPIC = "keyed.software-versions";
 /** Software versions at which streams have begun; read by hosts only. */
 export const STREAM_TOPIC = "keyed.streams";
+/** Services whose endpoints a host does not reach, by host; read by hosts only. */
+export const REACH_TOPIC = "keyed.reach";
 /** Leases of the hosts; read by hosts only. */
 export const LEASE_TOPIC = "leases";
 
--- a/packages/routing/src/endpoints/endpoint_load.ts
+++ b/packages/routing/src/endpoints/endpoint_load.ts
@@ -108,6 +108,14 @@
     }
   }
 
+  /** Forgets failures and pauses. */
+  clearFailures(): void {
+    this.#failures = 0;
+    this.#rejections = 0;
+    this.#pausedUntilMs = 0;
+    this.#closedUntilMs = 0;
+  }
+
   /**
    * Adds a measured ratio of latency to the usual latency to the moving average.
    *
