Let hosts that reach the endpoints handle the calls of hosts that don't

What callers saw: at a host without links to the endpoints every call ended with 504 at its deadline, for as long as the cut lasted.

Cause: a call had one way to an endpoint, the links of the host that took it. The host saw only its own attempts, which look the same when endpoints end, are slow or can't be reached from one place. Class: a view from one place taken for the state of the whole.

Ruled out: being not ready (the balancer takes 2 s, and goes on with all hosts of a domain once over half of them are out); answering 503 with a time to come back (the try has failed then, and the next host may be cut too); relaying each attempt by itself (two hosts would hold one budget, one permit and one trial).

Change: while no endpoint of a service answers a host, it passes calls and streams on to one host that reaches it, with the remaining time and attempts; that host makes all attempts, permits and verdicts, never passes the call on again, and takes 64 at most. 'Not run' is said only where no endpoint can have run the call. If no host reaches the service, calls are rejected at once. A second attempt waits for a probe if no endpoint has answered since the first.

--- a/packages/edge/src/calls/call_forwarder.ts
+++ b/packages/edge/src/calls/call_forwarder.ts
@@ -5,23 +5,26 @@
  * @module
  */
 import type { Logger } from "@briarhill/common/logging/logger";
-import type { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { Clock } from "@briarhill/common/time/clock";
 import { encodeForwardedHeaders } from "@briarhill/platform/ingress/request_head";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { Buffer } from "node:buffer";
-import type { CrashGuard, GuardedRequest } from "../crashes/crash_guard.ts";
+import type { GuardedRequest } from "../crashes/crash_guard.ts";
 import { sendGuarded } from "../crashes/guarded_send.ts";
-import type { AcceptedPlacement } from "../origins/stream_origins.ts";
-import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
-import type {
-  Admission,
-  EndpointAdmission,
-} from "../limits/endpoint_admission.ts";
 import type { RequestPurpose } from "../limits/observed_limits.ts";
 import type { EndpointSender } from "./endpoint_sender.ts";
-import type { AttemptAnswer, CallOutcome } from "./call_outcome.ts";
+import type { CallRelay } from "../reach/call_relay.ts";
+import type {
+  AttemptAdmission,
+  AttemptAnswer,
+  CallOutcome,
+} from "./call_outcome.ts";
+import {
+  type AttemptNeed,
+  RouteAdmission,
+  type RouteAdmissionOptions,
+} from "./route_admission.ts";
 import { ForwardedCall } from "./forwarded_call.ts";
 
 /** A hedged attempt starts no earlier than this fraction of the route's objective. */
@@ -33,11 +36,6 @@
 /** The time reserved for the endpoint's response to arrive, in milliseconds: about three round trips between failure domains. */
 const RESPONSE_RETURN_MS = 10;
 
-/** The part of the route's objective for which a live call waits for a permit; the endpoint needs the rest. */
-const LIVE_WAIT_OBJECTIVE_RATIO = 0.5;
-/** The time for which a scoring call waits for a permit, in milliseconds; no caller waits for a single score. */
-const SCORING_WAIT_MS = 1_000;
-
 /** A caller's request to forward to a plain service. */
 export interface ForwardRequest {
   readonly route: RouteStructure;
@@ -50,6 +48,8 @@
   /** The deadline of the final outcome, on the monotonic clock. */
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
+  /** The number of attempts that the host which has passed the request on allows; undefined for a request of this host's caller. */
+  readonly assignedAttempts?: number;
 }
 
 /** The outcome of a forwarded request and its number of attempts. */
@@ -61,24 +61,23 @@
 }
 
 /** Options of {@link CallForwarder}. */
-export interface CallForwarderOptions {
+export interface CallForwarderOptions extends RouteAdmissionOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly random: SeededRandom;
-  readonly directory: EndpointDirectory;
   readonly sender: EndpointSender;
-  readonly admission: EndpointAdmission;
-  readonly crashGuard: CrashGuard;
+  readonly relay: CallRelay;
 }
 
 /** Forwards requests whose body has been read completely to plain services. */
 export class CallForwarder {
   readonly #options: CallForwarderOptions;
+  readonly #admission: RouteAdmission;
   /** The moving average of the response time of each route, in milliseconds. */
   readonly #averageMs = new Map<string, number>();
 
   constructor(options: CallForwarderOptions) {
     this.#options = options;
+    this.#admission = new RouteAdmission(options);
   }
 
   /**
@@ -95,7 +94,10 @@
       clock,
       logger,
       deadlineMs,
-      maxAttempts: Math.max(1, route.maxAttempts),
+      maxAttempts: Math.max(
+        1,
+        Math.min(route.maxAttempts, request.assignedAttempts ?? Infinity),
+      ),
       isRepeatable: route.kind === "idempotent",
       hedgeAfterMs: this.#getHedgeDelayMs(route),
       signal,
@@ -103,8 +105,14 @@
         this.admitAttempt(route, {
           purpose: request.purpose,
           guarded: getGuarded(request),
+          isRelayed: request.assignedAttempts !== undefined,
           ...attempt,
         }),
+      relayAttempts: ({ service, hosts }, options) =>
+        this.#options.relay.sendRequest(
+          { ...request, ...options, service },
+          hosts,
+        ),
       sendAttempt: (endpoint, attemptSignal) =>
         this.#send(request, endpoint, attemptSignal),
     });
@@ -114,66 +122,16 @@
   }
 
   /**
-   * Picks an endpoint of one of the route's target services, with the permit that it needs.
+   * Decides where an attempt of a request is made.
    *
    * @param route - The route of the request.
-   * @param attempt - What the request is for, its content if endpoints may end under it, the ids of the endpoints that earlier
-   * attempts were sent to, whether one of them is in flight, and the signal that cancels the request.
+   * @param need - What the request needs.
    */
   admitAttempt(
     route: RouteStructure,
-    attempt: {
-      readonly purpose: RequestPurpose;
-      readonly guarded: GuardedRequest | undefined;
-      readonly tried: ReadonlySet<string>;
-      readonly isHedge: boolean;
-      readonly signal: AbortSignal;
-      /** Restricts the endpoints of a stream. */
-      readonly placement?: AcceptedPlacement;
-    },
-  ): Promise<Admission> {
-    const { directory, admission } = this.#options;
-    const { purpose, guarded, placement, ...rest } = attempt;
-    const service = placement?.service ?? this.#pickService(route);
-    const candidates = directory.listEndpoints(service).filter((endpoint) =>
-      placement?.accepts(endpoint) ?? true
-    );
-    const decision = this.#options.crashGuard.decideRun(guarded, candidates);
-    if (decision.kind === "rejected") {
-      const { retryAfterMs } = decision;
-      const reason = "crashes-endpoints";
-      return Promise.resolve({ kind: "rejected", reason, retryAfterMs });
-    }
-    const isTrial = decision.kind === "trial";
-    if (isTrial && attempt.isHedge) {
-      return Promise.resolve({ kind: "none" });
-    }
-    const isScoring = purpose === "scoring";
-    return admission.admit({
-      ...rest,
-      service,
-      flow: isScoring ? "training" : "live",
-      priority: route.priority,
-      candidates: isTrial ? [decision.endpoint] : candidates,
-      maxWaitMs: isScoring
-        ? SCORING_WAIT_MS
-        : LIVE_WAIT_OBJECTIVE_RATIO * route.objectiveMs,
-    });
-  }
-
-  /** Picks the service at random, weighted by the route's traffic split. */
-  #pickService({ targets }: RouteStructure): string {
-    const totalWeight = targets.reduce((sum, { weight }) => sum + weight, 0);
-    let remainingWeight = targets.length > 1
-      ? totalWeight * this.#options.random.getFloat()
-      : 0;
-    for (const { service, weight } of targets) {
-      remainingWeight -= weight;
-      if (remainingWeight < 0) {
-        return service;
-      }
-    }
-    return targets[0]?.service ?? "";
+    need: AttemptNeed,
+  ): Promise<AttemptAdmission> {
+    return this.#admission.admitAttempt(route, need);
   }
 
   async #send(
--- a/packages/edge/src/calls/call_outcome.ts
+++ b/packages/edge/src/calls/call_outcome.ts
@@ -9,8 +9,21 @@
 import type { Clock } from "@briarhill/common/time/clock";
 import type { EndpointResponseHead } from "@briarhill/platform/ingress/endpoint_response";
 import type { Admission } from "../limits/endpoint_admission.ts";
+import type { RelayReply } from "../reach/relay_reply.ts";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 
+/** Hosts that reach a service while this one does not, in the order in which to try them. */
+export interface RelayedAdmission {
+  readonly kind: "relayed";
+  readonly service: string;
+  readonly hosts: readonly string[];
+}
+
+/** Where an attempt is made: at an endpoint, or by one of these hosts, which reach the service while this one does not. */
+export type AttemptAdmission =
+  | Admission
+  | RelayedAdmission;
+
 /** The response that ended one attempt. */
 export interface AttemptAnswer {
   readonly httpAnswer: HttpResponse;
@@ -46,14 +59,22 @@
   readonly hedgeAfterMs: number;
   /** Cancels the request when its caller no longer waits for it. */
   readonly signal: AbortSignal;
-  /** Picks the endpoint of the next attempt, with the permit that it needs. */
+  /** Decides where the next attempt is made, and acquires the permit that it needs. */
   readonly admitAttempt: (
     attempt: {
       readonly tried: ReadonlySet<string>;
+      /** Whether another attempt is in flight. */
       readonly isHedge: boolean;
+      /** When the call began, on the monotonic clock. */
+      readonly startedAtMs: number;
       readonly signal: AbortSignal;
     },
-  ) => Promise<Admission>;
+  ) => Promise<AttemptAdmission>;
+  /** Lets another host make the remaining attempts. */
+  readonly relayAttempts: (
+    admission: RelayedAdmission,
+    options: { readonly attempts: number; readonly signal: AbortSignal },
+  ) => Promise<RelayReply<HttpResponse>>;
   /** Sends one attempt to an endpoint. */
   readonly sendAttempt: (
     endpoint: EndpointStructure,
--- a/packages/edge/src/calls/forwarded_call.ts
+++ b/packages/edge/src/calls/forwarded_call.ts
@@ -7,35 +7,19 @@
 import { PortError } from "@briarhill/common/errors/errors";
 import {
   AttemptPlan,
-  type AttemptResult,
   NO_ENDPOINT_REASON,
 } from "@briarhill/routing/attempts/attempt_plan";
-import type { Admission } from "../limits/endpoint_admission.ts";
+import { type CallEvent, getAttemptResult } from "./call_event.ts";
 import type {
-  AttemptAnswer,
   CallOutcome,
   ForwardedCallOptions,
+  RelayedAdmission,
 } from "./call_outcome.ts";
 
-const FIRST_SERVER_ERROR_STATUS = 500;
-
-type CallEvent = { readonly kind: "pause" | "deadline" | "cancelled" } | {
-  readonly kind: "attempt";
-  readonly number: number;
-  readonly endpoint: string;
-  readonly answer?: AttemptAnswer;
-  readonly error?: unknown;
-} | {
-  /** The attempt got no endpoint and was not sent. */
-  readonly kind: "unsent";
-  readonly number: number;
-  readonly isHedge: boolean;
-  readonly admission: Exclude<Admission, { kind: "admitted" }>;
-};
-
 /** One forwarded request with all of its attempts. */
 export class ForwardedCall {
   readonly #options: ForwardedCallOptions;
+  readonly #startedAtMs: number;
   readonly #plan: AttemptPlan;
   readonly #tried = new Set<string>();
   readonly #running = new Map<number, Promise<CallEvent>>();
@@ -46,9 +30,10 @@
 
   constructor(options: ForwardedCallOptions) {
     this.#options = options;
+    this.#startedAtMs = options.clock.getMonotonicMs();
     this.#plan = new AttemptPlan({
       ...options,
-      startedAtMs: options.clock.getMonotonicMs(),
+      startedAtMs: this.#startedAtMs,
     });
   }
 
@@ -84,11 +69,9 @@
       if (event.kind === "unsent") {
         this.#cancelAttempt(event);
       }
-      if (event.kind === "attempt") {
-        const outcome = this.#settleAttempt(event);
-        if (outcome !== undefined) {
-          return outcome;
-        }
+      const outcome = this.#applyEnd(event);
+      if (outcome !== undefined) {
+        return outcome;
       }
       const isDue = event.kind === "pause" || this.#plan.running === 0;
       if (isDue && this.#canRetry()) {
@@ -98,6 +81,17 @@
     return this.#createOutcome(this.#plan.reason);
   }
 
+  #applyEnd(event: CallEvent): CallOutcome | undefined {
+    switch (event.kind) {
+      case "attempt":
+        return this.#settleAttempt(event);
+      case "relayed":
+        return this.#settleRelayed(event);
+      default:
+        return undefined;
+    }
+  }
+
   #canRetry(): boolean {
     return this.#plan.canRetry(this.#options.clock.getMonotonicMs());
   }
@@ -115,15 +109,17 @@
     const admission = await admitAttempt({
       tried: this.#tried,
       isHedge,
+      startedAtMs: this.#startedAtMs,
       signal,
     });
-    if (admission.kind !== "admitted" || signal.aborted) {
-      return {
-        kind: "unsent",
-        number,
-        isHedge,
-        admission: admission.kind === "admitted" ? { kind: "none" } : admission,
-      };
+    if (signal.aborted) {
+      return { kind: "unsent", number, isHedge, admission: { kind: "none" } };
+    }
+    if (admission.kind === "relayed") {
+      return await this.#forwardAttempts(number, admission);
+    }
+    if (admission.kind !== "admitted") {
+      return { kind: "unsent", number, isHedge, admission };
     }
     const { endpoint } = admission;
     this.#tried.add(endpoint.id);
@@ -134,6 +130,42 @@
     );
   }
 
+  async #forwardAttempts(
+    number: number,
+    admission: RelayedAdmission,
+  ): Promise<CallEvent> {
+    const reply = await this.#options.relayAttempts(admission, {
+      attempts: this.#plan.assignAttempts(),
+      signal: this.#abort.signal,
+    });
+    return { kind: "relayed", number, reply };
+  }
+
+  /** Returns the final outcome if the other host has decided it. */
+  #settleRelayed(
+    { number, reply }: Extract<CallEvent, { kind: "relayed" }>,
+  ): CallOutcome | undefined {
+    this.#running.delete(number);
+    switch (reply.kind) {
+      case "answered":
+        this.#plan.settleAssigned({ kind: "answered", isFailure: false });
+        return {
+          kind: "answered",
+          httpAnswer: reply.response,
+          endpoint: reply.endpoint,
+        };
+      case "unknown":
+        this.#plan.settleAssigned({ kind: "lost", reason: reply.reason });
+        return undefined;
+      case "not-run":
+        // The other host has tried for as long as it makes sense.
+        this.#retryAfterMs = reply.retryAfterMs;
+        this.#plan.settleAssigned({ kind: "not-run", reason: reply.reason });
+        this.#plan.closeRetries();
+        return undefined;
+    }
+  }
+
   #cancelAttempt(
     { number, isHedge, admission }: Extract<CallEvent, { kind: "unsent" }>,
   ): void {
@@ -156,7 +188,7 @@
   ): CallOutcome | undefined {
     this.#running.delete(event.number);
     this.#logFault(event);
-    const isFinal = this.#plan.settleAttempt(getAttemptEnd(event));
+    const isFinal = this.#plan.settleAttempt(getAttemptResult(event));
     if (event.answer === undefined || event.answer.answer.isRefused) {
       return undefined;
     }
@@ -214,22 +246,3 @@
       : { kind: "failed", reason };
   }
 }
-
-function getAttemptEnd(
-  { answer, error }: Extract<CallEvent, { kind: "attempt" }>,
-): AttemptResult {
-  if (answer === undefined) {
-    const isNotRun = error instanceof PortError && error.outcome === "not-run";
-    const reason = error instanceof PortError ? error.fault : "fault";
-    return { kind: isNotRun ? "not-run" : "lost", reason };
-  }
-  const { isRefused, isOtherEndpoint } = answer.answer;
-  if (isRefused) {
-    return {
-      kind: "not-run",
-      reason: isOtherEndpoint ? "other-endpoint" : "full",
-    };
-  }
-  const isFailure = answer.httpAnswer.status >= FIRST_SERVER_ERROR_STATUS;
-  return { kind: "answered", isFailure };
-}
--- a/packages/edge/src/calls/ingress.ts
+++ b/packages/edge/src/calls/ingress.ts
@@ -17,11 +17,9 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  isForwardedCall,
-  type LotCallForwarder,
-} from "../lots/lot_call_forwarder.ts";
+import type { LotCallForwarder } from "../lots/lot_call_forwarder.ts";
 import type { LotRoutes } from "../lots/lot_routes.ts";
+import { isForwardedCall } from "../peers/hop_headers.ts";
 import { writeProblemReply } from "./caller_reply.ts";
 import type { LiveCalls } from "./live_calls.ts";
 import { readRequestBody } from "./request_body.ts";
--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -5,7 +5,12 @@
  */
 import { encodeRelayedHeaders } from "@briarhill/platform/ingress/request_head";
 import type { HostMetrics } from "../observe/host_metrics.ts";
-import type { ForwardReport } from "./call_forwarder.ts";
+import {
+  decodeAttempts,
+  dropHopHeaders,
+  encodeOutcome,
+} from "../peers/hop_headers.ts";
+import type { ForwardReport, ForwardRequest } from "./call_forwarder.ts";
 import { writeCallFailure } from "./call_failure.ts";
 import { writeReply } from "./caller_reply.ts";
 import type { RoutedExchange } from "./ingress.ts";
@@ -13,6 +18,10 @@
 
 /** The time reserved for the response to reach the caller, in milliseconds. */
 const CALLER_RETURN_MS = 25;
+/** The maximum number of calls of other hosts in progress; it bounds the memory that their bodies take. */
+const MAX_PASSED_ON_CALLS = 64;
+/** The retry delay of a call of another host beyond that number, in milliseconds. */
+const BUSY_RETRY_MS = 200;
 
 /** Options of {@link LiveCalls}. */
 export interface LiveCallsOptions extends LiveStreamsOptions {
@@ -23,6 +32,7 @@
 export class LiveCalls {
   readonly #options: LiveCallsOptions;
   readonly #streams: LiveStreams;
+  #passedOnCalls = 0;
 
   constructor(options: LiveCallsOptions) {
     this.#options = options;
@@ -35,6 +45,25 @@
    * @param exchange - The request, its route and the response to write.
    */
   async handle(exchange: RoutedExchange): Promise<void> {
+    if (!exchange.isForwarded) {
+      return await this.#handleCall(exchange);
+    }
+    if (this.#passedOnCalls >= MAX_PASSED_ON_CALLS) {
+      const reason = "busy";
+      exchange.response.setHeader(
+        ...encodeOutcome({ kind: "refused", reason }),
+      );
+      return writeCallFailure(exchange.response, {
+        kind: "refused",
+        reason,
+        retryAfterMs: BUSY_RETRY_MS,
+      });
+    }
+    this.#passedOnCalls++;
+    await this.#handleCall(exchange).finally(() => this.#passedOnCalls--);
+  }
+
+  async #handleCall(exchange: RoutedExchange): Promise<void> {
     const callerClosed = new AbortController();
     exchange.response.on("close", () => callerClosed.abort());
     if (exchange.response.destroyed) {
@@ -50,23 +79,14 @@
     signal: AbortSignal,
   ): Promise<void> {
     const { clock, forwarder, metrics } = this.#options;
-    const { request, response, route, head, arrivedAtMs } = exchange;
-    const callerDeadlineMs = arrivedAtMs + head.deadlineMs;
-    const report = await forwarder.forward({
-      route,
-      purpose: "call",
-      attemptId: head.attemptId,
-      method: request.method ?? "GET",
-      path: request.url ?? "/",
-      rawHeaders: request.rawHeaders,
-      body: exchange.body,
-      deadlineMs: Math.min(
-        callerDeadlineMs - CALLER_RETURN_MS,
-        arrivedAtMs + route.timeoutMs,
-      ),
-      signal,
-    });
+    const { response, route, arrivedAtMs } = exchange;
+    const report = await forwarder.forward(
+      createForwardRequest(exchange, signal),
+    );
     const { outcome } = report;
+    if (exchange.isForwarded && !response.headersSent) {
+      response.setHeader(...encodeOutcome(outcome));
+    }
     if (outcome.kind === "answered") {
       const { status, rawHeaders, body } = outcome.httpAnswer;
       writeReply(response, {
@@ -102,3 +122,24 @@
     });
   }
 }
+
+function createForwardRequest(
+  { request, route, head, arrivedAtMs, body, isForwarded }: RoutedExchange,
+  signal: AbortSignal,
+): ForwardRequest {
+  return {
+    route,
+    purpose: "call",
+    attemptId: head.attemptId,
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    rawHeaders: dropHopHeaders(request.rawHeaders),
+    body,
+    deadlineMs: arrivedAtMs +
+      Math.min(head.deadlineMs - CALLER_RETURN_MS, route.timeoutMs),
+    signal,
+    ...(isForwarded
+      ? { assignedAttempts: decodeAttempts(request.headers) }
+      : {}),
+  };
+}
--- a/packages/edge/src/calls/live_streams.ts
+++ b/packages/edge/src/calls/live_streams.ts
@@ -12,17 +12,26 @@
   GuardedEnd,
   GuardedRequest,
 } from "../crashes/crash_guard.ts";
-import type { Admission, Rejection } from "../limits/endpoint_admission.ts";
+import { encodeOutcome } from "../peers/hop_headers.ts";
+import type { CallRelay } from "../reach/call_relay.ts";
 import {
   type AcceptedPlacement,
   type StreamOrigins,
   UNRECORDED_REJECTION,
 } from "../origins/stream_origins.ts";
-import { writeCallFailure } from "./call_failure.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
+import type { AttemptNeed } from "./route_admission.ts";
 import type { EndpointSender } from "./endpoint_sender.ts";
 import type { RoutedExchange } from "./ingress.ts";
+import type { AttemptAdmission } from "./call_outcome.ts";
 import { type StreamOutcome, streamResponse } from "./stream_call.ts";
+import {
+  createGuarded,
+  forwardStream,
+  getMaxAttempts,
+  type StreamReport,
+  writeStreamFailure,
+} from "./stream_relay.ts";
 
 /** What the outcome of an attempt says about its endpoint. */
 const GUARDED_ENDS: Readonly<Record<StreamOutcome, GuardedEnd>> = {
@@ -38,12 +47,6 @@
   readonly signal: AbortSignal;
 }
 
-/** The outcome of a stream; a rejection is the reason why no endpoint has run it. */
-interface StreamReport {
-  readonly outcome: StreamOutcome;
-  readonly rejection?: Rejection;
-}
-
 /** Options of {@link LiveStreams}. */
 export interface LiveStreamsOptions {
   readonly clock: Clock;
@@ -51,6 +54,7 @@
   readonly forwarder: CallForwarder;
   readonly sender: EndpointSender;
   readonly crashGuard: CrashGuard;
+  readonly relay: CallRelay;
   readonly streamOrigins: StreamOrigins;
 }
 
@@ -81,7 +85,7 @@
       signal,
     );
     if (outcome === "not-run" || outcome === "unknown") {
-      writeStreamFailure(exchange, outcome, rejection);
+      writeStreamFailure(exchange, { outcome, rejection });
     }
     logger.info("stream-ended", {
       request: head.attemptId,
@@ -118,37 +122,55 @@
       readonly signal: AbortSignal;
     },
   ): Promise<StreamReport> {
-    const { route, head } = exchange;
-    const { streamOrigins, forwarder } = this.#options;
     const guarded = createGuarded(exchange);
-    const request = { purpose: "stream", guarded, isHedge: false } as const;
-    let outcome: StreamOutcome = "not-run";
-    while (outcome === "not-run" && tried.size < route.maxAttempts) {
-      const admission = await forwarder.admitAttempt(route, {
-        ...request,
-        placement,
-        tried,
-        signal,
-      });
+    const need = createNeed(exchange, guarded);
+    const maxAttempts = getMaxAttempts(exchange);
+    let report: StreamReport = { outcome: "not-run" };
+    while (
+      report.outcome === "not-run" && report.rejection === undefined &&
+      tried.size < maxAttempts
+    ) {
+      const admission = await this.#options.forwarder.admitAttempt(
+        exchange.route,
+        { ...need, placement, tried, signal },
+      );
       if (admission.kind === "rejected") {
-        return { outcome, rejection: admission };
+        return { outcome: "not-run", rejection: admission };
+      }
+      if (admission.kind === "relayed") {
+        const attempts = maxAttempts - tried.size;
+        const options = { ...this.#options, admission, attempts, signal };
+        return await forwardStream(exchange, options);
       }
       const endpoint = getUntried(admission, tried);
       if (endpoint === undefined || signal.aborted) {
         break;
       }
       tried.add(endpoint.id);
-      const isRecorded = await streamOrigins.recordStart(head.attemptId, {
+      const attempt = { guarded, endpoint, signal };
+      report = await this.#runRecorded(exchange, attempt, placement);
+    }
+    return report;
+  }
+
+  /** Runs an attempt once the software version of its endpoint is recorded. */
+  async #runRecorded(
+    exchange: RoutedExchange,
+    attempt: StreamAttempt,
+    placement: AcceptedPlacement,
+  ): Promise<StreamReport> {
+    const { route, head } = exchange;
+    const isRecorded = await this.#options.streamOrigins.recordStart(
+      head.attemptId,
+      {
         route,
-        endpoint,
+        endpoint: attempt.endpoint,
         isResumption: placement.kind === "goes-on",
-      });
-      if (!isRecorded) {
-        return { outcome, rejection: UNRECORDED_REJECTION };
-      }
-      outcome = await this.#runGuarded(exchange, { guarded, endpoint, signal });
-    }
-    return { outcome };
+      },
+    );
+    return isRecorded
+      ? { outcome: await this.#runGuarded(exchange, attempt) }
+      : { outcome: "not-run", rejection: UNRECORDED_REJECTION };
   }
 
   async #runGuarded(
@@ -176,6 +198,10 @@
     const { clock, sender, logger } = this.#options;
     const nowMs = clock.getMonotonicMs();
     const remainingMs = Math.max(1, arrivedAtMs + head.deadlineMs - nowMs);
+    if (exchange.isForwarded) {
+      const outcome = { kind: "answered", endpoint: endpoint.id } as const;
+      response.setHeader(...encodeOutcome(outcome));
+    }
     return streamResponse(response, {
       sender,
       logger,
@@ -197,7 +223,7 @@
 }
 
 function getUntried(
-  admission: Admission,
+  admission: AttemptAdmission,
   tried: ReadonlySet<string>,
 ): EndpointStructure | undefined {
   return admission.kind === "admitted" && !tried.has(admission.endpoint.id)
@@ -205,29 +231,15 @@
     : undefined;
 }
 
-function createGuarded(
-  { request, head, body }: RoutedExchange,
-): GuardedRequest {
+function createNeed(
+  { arrivedAtMs, isForwarded }: RoutedExchange,
+  guarded: GuardedRequest,
+): Omit<AttemptNeed, "tried" | "signal"> {
   return {
-    attemptId: head.attemptId,
-    method: request.method ?? "GET",
-    path: request.url ?? "/",
-    rawHeaders: request.rawHeaders,
-    body,
+    purpose: "stream",
+    guarded,
+    isHedge: false,
+    startedAtMs: arrivedAtMs,
+    isRelayed: isForwarded,
   };
 }
-
-function writeStreamFailure(
-  { response }: RoutedExchange,
-  outcome: "not-run" | "unknown",
-  rejection: Rejection | undefined,
-): void {
-  const { reason, retryAfterMs } = rejection ??
-    { reason: "stream", retryAfterMs: undefined };
-  writeCallFailure(
-    response,
-    outcome === "not-run"
-      ? { kind: "refused", reason, retryAfterMs }
-      : { kind: "failed", reason },
-  );
-}
--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -78,7 +78,20 @@
   }
 }
 
-function streamBody(
+/**
+ * Relays a response to the caller as it arrives.
+ *
+ * @example
+ * ```ts
+ * declare const response: import("node:http").ServerResponse;
+ * declare const head: HttpResponseHead;
+ *
+ * const outcome = await streamBody(response, head);
+ * ```
+ * @param response - The response to the caller.
+ * @param head - The response to relay.
+ */
+export function streamBody(
   response: ServerResponse,
   head: HttpResponseHead,
 ): Promise<StreamOutcome> {
--- a/packages/edge/src/lots/lot_call_forwarder.ts
+++ b/packages/edge/src/lots/lot_call_forwarder.ts
@@ -12,14 +12,12 @@
 import { HttpSender } from "@briarhill/common/http/http_sender";
 import type { Logger } from "@briarhill/common/logging/logger";
 import { encodeRelayedHeaders } from "@briarhill/platform/ingress/request_head";
-import type { IncomingHttpHeaders } from "node:http";
 import { writeReply } from "../calls/caller_reply.ts";
 import type { CallerExchange } from "../calls/ingress.ts";
+import { encodeHopHeaders } from "../peers/hop_headers.ts";
 import type { PeerList } from "../peers/peer_list.ts";
 import type { LotPartitions } from "./lot_partitions.ts";
 
-/** Header that marks a call forwarded by another host. */
-const FORWARDED_HEADER = "Briarhill-Forwarded";
 /** Timeout for the response head beyond the wait that the client asked for, in milliseconds; clients allow 1,500. */
 const HEAD_TIMEOUT_MS = 500;
 /** Timeout for the response body, in milliseconds; enough for a page of 1 MB over a slow link. */
@@ -96,8 +94,7 @@
       path: request.url ?? "/",
       headers: [
         ...encodeRelayedHeaders(request.rawHeaders),
-        FORWARDED_HEADER,
-        "1",
+        ...encodeHopHeaders(),
       ],
       headTimeoutMs: head.waitMs + HEAD_TIMEOUT_MS,
     }, BODY_TIMEOUT_MS);
@@ -109,16 +106,3 @@
     return true;
   }
 }
-
-/**
- * Returns whether a call was forwarded by another host.
- *
- * @example
- * ```ts
- * const isForwarded = isForwardedCall({ "briarhill-forwarded": "1" });
- * ```
- * @param headers - The headers of the call.
- */
-export function isForwardedCall(headers: IncomingHttpHeaders): boolean {
-  return headers[FORWARDED_HEADER.toLowerCase()] !== undefined;
-}
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -105,8 +105,7 @@
     });
     await this.#metrics.start(metrics);
     this.#serving.followers.forEach((follower) => follower.start());
-    const { reach, sharedReach } = this.#serving;
-    sharedReach.publishReach(reach.createRecord());
+    this.#serving.sharedReach.publishReach(this.#serving.reach.createRecord());
     this.#store.peers.start();
     this.#training.owner.start();
     this.#training.cleaner.start();
@@ -163,8 +162,8 @@
     this.#training.partitions.stop();
     this.#serving.followers.forEach((follower) => follower.stop());
     this.#serving.reach.stop();
-    this.#serving.permits.close();
-    this.#serving.sender.close();
+    const { relay, permits, sender } = this.#serving;
+    [relay, permits, sender].forEach((component) => component.close());
     this.#store.transport.close();
     await this.#clock.sleep(DRAIN_POLL_INTERVAL_MS);
   }
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -21,6 +21,7 @@
   createOriginComponents,
   type OriginComponents,
 } from "../origins/create_origin_components.ts";
+import { CallRelay } from "../reach/call_relay.ts";
 import {
   createReachComponents,
   type ReachComponents,
@@ -38,6 +39,7 @@
   readonly directory: EndpointDirectory;
   readonly published: PublishedState;
   readonly sender: EndpointSender;
+  readonly relay: CallRelay;
   readonly forwarder: CallForwarder;
   readonly incarnations: IncarnationCheck;
   /** Follow what other hosts write to the shared log. */
@@ -124,6 +126,7 @@
   const { parts } = options;
   const { published, sharedLimits, sharedCrashes, sharedReach } = parts;
   const sender = createSender(context, parts);
+  const relay = createRelay(context, parts);
   const incarnations = new IncarnationCheck({
     ...context,
     ...parts,
@@ -140,6 +143,7 @@
     ...parts,
     ...origins,
     sender,
+    relay,
     incarnations,
     followers: [
       published,
@@ -148,12 +152,28 @@
       sharedReach,
       softwareVersions,
     ],
-    forwarder: new CallForwarder({ ...context, ...parts, sender }),
+    forwarder: new CallForwarder({ ...context, ...parts, sender, relay }),
   };
 }
 
+function createRelay(
+  context: HostContext,
+  { reach }: Pick<ServingParts, "reach">,
+): CallRelay {
+  return new CallRelay({
+    ...context,
+    paths: reach.paths,
+    peerPort: context.settings.peers.port,
+    maxAnswerBytes: getMaxAnswerBytes(context),
+  });
+}
+
+function getMaxAnswerBytes({ settings }: HostContext): number {
+  return settings.memoryBytes / ANSWER_MEMORY_DIVISOR;
+}
+
 function createSender(
-  { settings, clock }: HostContext,
+  context: HostContext,
   options: {
     readonly directory: EndpointDirectory;
     readonly limits: LimitComponents["limits"];
@@ -162,7 +182,7 @@
 ): EndpointSender {
   return new EndpointSender({
     ...options,
-    clock,
-    maxAnswerBytes: settings.memoryBytes / ANSWER_MEMORY_DIVISOR,
+    clock: context.clock,
+    maxAnswerBytes: getMaxAnswerBytes(context),
   });
 }
--- a/packages/edge/src/observe/host_metrics.ts
+++ b/packages/edge/src/observe/host_metrics.ts
@@ -119,6 +119,15 @@
     this.#counters.addOne("reach_changes_total", change);
   }
 
+  /**
+   * Counts a call that another host handles for this one.
+   *
+   * @param outcome - How it ended there.
+   */
+  addRelayedCall(outcome: string): void {
+    this.#counters.addOne("relayed_calls_total", outcome);
+  }
+
   /**
    * Counts a decision where a stream that a client takes up goes on, or the rejection of a stream.
    *
--- a/packages/edge/src/reach/reach_monitor.ts
+++ b/packages/edge/src/reach/reach_monitor.ts
@@ -9,6 +9,7 @@
 import { type CallPath, CallPaths } from "@briarhill/routing/reach/call_paths";
 import type { HostReach } from "@briarhill/routing/reach/host_reach";
 import {
+  type ProbeRound,
   type ReachChange,
   ServiceReach,
 } from "@briarhill/routing/reach/service_reach";
@@ -103,12 +104,12 @@
   }
 
   /**
-   * Returns whether no endpoint of a service accepts connections of this host.
+   * Lists other hosts that reach a service as far as is known.
    *
    * @param service - The service.
    */
-  isLost(service: string): boolean {
-    return this.#services.get(service)?.isLost === true;
+  listReaching(service: string): readonly string[] {
+    return this.paths.listRelays(service, this.#options.clock.getMonotonicMs());
   }
 
   /**
@@ -195,11 +196,7 @@
   #applyChange(
     service: string,
     change: ReachChange,
-    fields: {
-      readonly probed: number;
-      readonly reached: number;
-      readonly isReachedElsewhere: boolean;
-    },
+    fields: Pick<ProbeRound, "probed" | "reached" | "isReachedElsewhere">,
   ): void {
     const { logger, metrics, onChange, directory } = this.#options;
     if (change !== "none") {
@@ -235,7 +232,10 @@
     const { clock, random } = this.#options;
     const nowMs = clock.getMonotonicMs();
     const confirmedAtMs = this.#confirmedAtMs.get(service) ?? -Infinity;
-    if (this.isLost(service) || nowMs - confirmedAtMs < CONFIRM_INTERVAL_MS) {
+    if (
+      this.#getReach(service).isLost ||
+      nowMs - confirmedAtMs < CONFIRM_INTERVAL_MS
+    ) {
       return;
     }
     this.#confirmedAtMs.set(service, nowMs);
--- a/packages/edge/test/calls/call_fixture.ts
+++ b/packages/edge/test/calls/call_fixture.ts
@@ -9,7 +9,8 @@
 import { CrashGuard } from "../../src/crashes/crash_guard.ts";
 import { EndpointAdmission } from "../../src/limits/endpoint_admission.ts";
 import { HostMetrics } from "../../src/observe/host_metrics.ts";
-import { createSender } from "./sender_fixture.ts";
+import { CallRelay } from "../../src/reach/call_relay.ts";
+import { createSender, MAX_ANSWER_BYTES } from "./sender_fixture.ts";
 
 export function createRoute(
   fields: Partial<RouteStructure> = {},
@@ -62,6 +63,14 @@
       logger,
       random,
       admission,
+      relay: new CallRelay({
+        ...parts,
+        logger,
+        metrics: new HostMetrics(),
+        paths: parts.reach.paths,
+        peerPort: 1,
+        maxAnswerBytes: MAX_ANSWER_BYTES,
+      }),
       crashGuard: new CrashGuard({
         ...parts,
         logger,
--- a/packages/fakes/src/platform/fault_proxy.ts
+++ b/packages/fakes/src/platform/fault_proxy.ts
@@ -12,6 +12,13 @@
 /** The two directions of a connection. */
 export type ProxyDirection = "requests" | "answers";
 
+/**
+ * How a link is cut: "silent" if all bytes are held back until it is restored, "reset" if
+ * open connections are reset and new ones fall silent, "refused" if new connections are
+ * refused while open ones go on.
+ */
+export type LinkCut = "silent" | "reset" | "refused";
+
 /** Options of {@link FaultProxy}. */
 export interface FaultProxyOptions {
   readonly listen: HttpAddress;
@@ -36,6 +43,7 @@
   readonly #connections = new Set<ProxiedConnection>();
   readonly #holdChanges = new ChangeNotifier();
   #heldDirection: ProxyDirection | undefined;
+  #cut: LinkCut | undefined;
   #delayMs = 0;
 
   constructor(options: FaultProxyOptions) {
@@ -48,12 +56,8 @@
   }
 
   /** Starts listening. */
-  start(): Promise<void> {
-    const { hostname, port } = this.#options.listen;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, hostname, resolve);
-    });
+  async start(): Promise<void> {
+    await this.#openListener();
   }
 
   /** Stops listening and resets all connections. */
@@ -81,6 +85,31 @@
     this.#holdChanges.announce();
   }
 
+  /**
+   * Cuts the link.
+   *
+   * @param cut - How it is cut.
+   */
+  suspendLink(cut: LinkCut): void {
+    this.#cut = cut;
+    if (cut === "reset") {
+      this.abortConnections();
+    }
+    if (cut === "refused") {
+      this.#server.close();
+    }
+  }
+
+  /** Restores the link. */
+  async resumeLink(): Promise<void> {
+    const cut = this.#cut;
+    this.#cut = undefined;
+    this.#holdChanges.announce();
+    if (cut === "refused") {
+      await this.#openListener();
+    }
+  }
+
   /** Resets all open connections. */
   abortConnections(): void {
     for (const { clientSocket, targetSocket } of this.#connections) {
@@ -94,6 +123,14 @@
     this.#connections.forEach((connection) => connection.isSuspended = true);
   }
 
+  #openListener(): Promise<void> {
+    const { hostname, port } = this.#options.listen;
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, hostname, () => resolve());
+    });
+  }
+
   #addConnection(clientSocket: Socket): void {
     const { target, localAddress } = this.#options;
     const targetSocket = connect({
@@ -134,7 +171,10 @@
     if (this.#delayMs > 0) {
       await sleep(this.#delayMs);
     }
-    while (this.#heldDirection === direction) {
+    while (
+      this.#heldDirection === direction || this.#cut === "silent" ||
+      this.#cut === "reset"
+    ) {
       await this.#holdChanges.wait();
     }
   }
--- a/packages/fakes/src/platform/platform_stand_in.ts
+++ b/packages/fakes/src/platform/platform_stand_in.ts
@@ -15,7 +15,7 @@
 } from "./event_text.ts";
 import { HostClient } from "./host_client.ts";
 import { createConfiguration } from "./platform_configuration.ts";
-import { PlatformLinks } from "./platform_links.ts";
+import { getHostProxyAddress, PlatformLinks } from "./platform_links.ts";
 import { createHostSettings } from "./host_settings_text.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
 
@@ -43,7 +43,7 @@
 
   /**
    * @param base - The first of about twenty free ports; with links, as many ports
-   * starting 100 higher have to be free too.
+   * starting 100 and 200 higher have to be free too.
    * @param hosts - The number of hosts whose connections run through fault proxies
    * (links), incoming and outgoing; 0 for no links.
    * @param services - The number of endpoints of the plain service, at most five.
@@ -77,6 +77,9 @@
     await this.store.start(STORE_IP, this.firstPort);
     await Promise.all(this.endpoints.map((endpoint) => endpoint.start()));
     await this.links.start();
+    this.links.endpointLinks.forEach((_, host) =>
+      this.store.setView(this.getIp(host), ENDPOINT_TOPIC, this.#getView(host))
+    );
     this.publishConfiguration();
     this.#publishEntries();
     this.#publishTimer = setInterval(
@@ -163,7 +166,21 @@
    */
   publishEntry(endpoint: EndpointStandIn): void {
     const { id } = endpoint.options;
-    this.store.publish(ENDPOINT_TOPIC, id, endpoint.createEntry());
+    const entry = endpoint.createEntry();
+    this.store.publish(ENDPOINT_TOPIC, id, entry);
+    this.links.endpointLinks.forEach((_, host) => {
+      const { hostname, port } = getHostProxyAddress(
+        this.getIp(host),
+        endpoint.options,
+      );
+      const address = `${hostname}:${port}`;
+      this.store.publish(this.#getView(host), id, { ...entry, address });
+    });
+  }
+
+  /** The list of endpoints as one host reads it, with the addresses of its own links. */
+  #getView(host: number): string {
+    return `${ENDPOINT_TOPIC}.${host}`;
   }
 
   /**
--- a/packages/fakes/src/platform/store_stand_in.ts
+++ b/packages/fakes/src/platform/store_stand_in.ts
@@ -41,6 +41,8 @@
 /** A stand-in for the platform's store. */
 export class StoreStandIn {
   readonly #partitions = new Map<string, StorePartition>();
+  /** The topics that hosts read instead of others, by host and topic. */
+  readonly #views = new Map<string, string>();
   readonly #groups = new Map<string, StoreGroup>();
   readonly #behaviors = new Map<string, StoreBehavior>();
   readonly #server = createServer((request, response) => {
@@ -83,6 +85,17 @@
     this.#behaviors.set(ip, behavior);
   }
 
+  /**
+   * Serves another topic to one host instead of the one that it names.
+   *
+   * @param ip - The host's address.
+   * @param topic - The topic that the host names.
+   * @param view - The topic that it is served.
+   */
+  setView(ip: string, topic: string, view: string): void {
+    this.#views.set(`${ip} ${topic}`, view);
+  }
+
   /**
    * Appends a record to partition 0 of a keyed topic, as an operator, a trainer or an
    * endpoint does.
@@ -169,6 +182,8 @@
       return;
     }
     const url = new URL(request.url ?? "/", "http://store");
+    const topic = url.searchParams.get("topic") ?? "";
+    url.searchParams.set("topic", this.#views.get(`${ip} ${topic}`) ?? topic);
     const result = await this.#handleCall(url, Buffer.concat(chunks));
     if (behavior === "lost" && request.method === "POST") {
       response.destroy();
--- a/packages/platform/src/ingress/request_head.ts
+++ b/packages/platform/src/ingress/request_head.ts
@@ -38,6 +38,13 @@
   EXPECTED_INSTANCE.toLowerCase(),
 ]);
 
+/** Headers that a request does not keep on its way to another host. */
+const NOT_PASSED_ON: ReadonlySet<string> = new Set([
+  ...HOP_BY_HOP,
+  "expect",
+  DEADLINE_MS.toLowerCase(),
+]);
+
 /** The decoded headers of a caller's request. */
 export interface RequestHead {
   /** The id of the attempt; empty if the caller sent none. */
@@ -104,6 +111,28 @@
   ];
 }
 
+/**
+ * Returns the headers of a caller's request that another host handles in the
+ * remaining time.
+ *
+ * @example
+ * ```ts
+ * const headers = encodePassedOnHeaders(["Host", "a.example"], 500);
+ * ```
+ * @param rawHeaders - The caller's headers, as alternating names and values.
+ * @param remainingMs - The time until the caller's deadline, in milliseconds.
+ */
+export function encodePassedOnHeaders(
+  rawHeaders: readonly string[],
+  remainingMs: number,
+): readonly string[] {
+  return [
+    ...selectHeaders(rawHeaders, NOT_PASSED_ON),
+    DEADLINE_MS,
+    String(Math.max(1, Math.floor(remainingMs))),
+  ];
+}
+
 /**
  * Returns the headers of a message that is relayed: an endpoint's response to
  * its caller, or a call and its response between two hosts.
--- a/packages/routing/src/attempts/attempt_plan.ts
+++ b/packages/routing/src/attempts/attempt_plan.ts
@@ -59,6 +59,8 @@
   /** Attempts that are running or may have run. */
   #executions = 0;
   #failures = 0;
+  /** Attempts that another host makes, including the one that was started here. */
+  #assigned = 0;
   #mayHaveRun = false;
   #isRejected = false;
   #reason = NO_ENDPOINT_REASON;
@@ -99,6 +101,31 @@
     this.#executions++;
   }
 
+  /**
+   * Hands attempts over to another host and returns their number, including the
+   * attempt that was started. One is kept for the loss of that host.
+   */
+  assignAttempts(): number {
+    const left = this.#options.maxAttempts - this.#executions;
+    this.#assigned = 1 + Math.max(0, left - 1);
+    this.#executions += this.#assigned - 1;
+    return this.#assigned;
+  }
+
+  /**
+   * Records the end of the attempts that another host has made.
+   *
+   * @param result - How they ended; their answer is final.
+   */
+  settleAssigned(result: AttemptResult): void {
+    const assigned = this.#assigned;
+    this.#assigned = 0;
+    if (result.kind === "not-run") {
+      this.#executions -= assigned - 1;
+    }
+    this.settleAttempt(result);
+  }
+
   /**
    * Records that a started attempt was not sent to any endpoint.
    *
@@ -119,6 +146,11 @@
    */
   closeAttempts(reason: string): void {
     this.cancelAttempt(reason);
+    this.closeRetries();
+  }
+
+  /** Allows no further attempts. */
+  closeRetries(): void {
     this.#isRejected = true;
   }
 
@@ -187,7 +219,7 @@
         : NEXT_ATTEMPT_DELAY_MS;
     }
     const canHedge = isRepeatable && this.canRetry(nowMs) &&
-      this.#attempts < maxAttempts;
+      this.#assigned === 0 && this.#attempts < maxAttempts;
     return canHedge ? hedgeAfterMs : Infinity;
   }
 
--- a/packages/routing/src/reach/call_paths.ts
+++ b/packages/routing/src/reach/call_paths.ts
@@ -22,6 +22,9 @@
 /** Time for which a host is left out for a service that it has just failed to reach, in milliseconds. */
 const UNREACHED_MS = 1_000;
 
+/** Why a call is rejected if no endpoint of its service can be reached. */
+export const UNREACHED_REASON = "unreachable";
+
 /** The way of a call to the endpoints. */
 export type CallPath =
   | { readonly kind: "direct" }
@@ -134,6 +137,17 @@
       .map(({ host }) => host);
   }
 
+  /**
+   * Lists the hosts that may handle a call of a service, in the order in which to try
+   * them.
+   *
+   * @param service - The service.
+   * @param nowMs - The current time.
+   */
+  listRelays(service: string, nowMs: number): readonly string[] {
+    return this.listReaching(service, nowMs).slice(0, MAX_RELAYS);
+  }
+
   /**
    * Returns whether another host that has lost nothing is known.
    *
@@ -164,9 +178,9 @@
     if (!reach.isLost) {
       return { kind: "direct" };
     }
-    const hosts = isRelayed ? [] : this.listReaching(service, nowMs);
+    const hosts = isRelayed ? [] : this.listRelays(service, nowMs);
     if (hosts.length > 0) {
-      return { kind: "relayed", hosts: hosts.slice(0, MAX_RELAYS) };
+      return { kind: "relayed", hosts };
     }
     return reach.hasLiveConnection
       ? { kind: "direct" }
