Give lots, shards and the lease of orders to hosts that reach the endpoints

What trainers saw: samples of lots whose owner had lost its links stood still until the links were back (1,878 attempts at one host in 9 s, none finished), and no engine was ordered while the holder of the lease was cut off.

Cause: a host keeps its jobs as long as the store confirms them, whether or not it can do them. Class: a lease that is renewed by reaching the store, for work that needs the endpoints.

Ruled out: sending orders over another host (orders of two machines count as those of two holders); giving jobs away after the first failed probe (a lossy link would move them: two rounds have to fail).

Change: a host that has lost a service for two probe rounds while another host has lost none appends the progress of its lots, leaves the group of owners and releases the lease, and comes back once it reaches all services. If no host is better off, jobs stay where they are. Samples and orders are not tried at a service that is lost, and an endpoint whose report fails is paused as one whose request fails, so that nothing spins.

--- a/packages/edge/src/endpoints/incarnation_check.ts
+++ b/packages/edge/src/endpoints/incarnation_check.ts
@@ -5,6 +5,7 @@
  */
 import { BriarhillError } from "@briarhill/common/errors/errors";
 import type { Logger } from "@briarhill/common/logging/logger";
+import type { Clock } from "@briarhill/common/time/clock";
 import {
   decodeReport,
   encodeReportCall,
@@ -21,6 +22,7 @@
 
 /** Options of {@link IncarnationCheck}. */
 export interface IncarnationCheckOptions {
+  readonly clock: Clock;
   readonly logger: Logger;
   readonly sender: EndpointSender;
   readonly directory: EndpointDirectory;
@@ -59,7 +61,7 @@
   }
 
   async #isReported(endpoint: EndpointStructure): Promise<boolean> {
-    const { sender, logger } = this.#options;
+    const { sender, logger, directory, clock } = this.#options;
     try {
       const response = await sender.callControl(
         endpoint,
@@ -72,6 +74,9 @@
       if (!(error instanceof BriarhillError)) {
         throw error;
       }
+      // Without a pause, samples would ask the same endpoint again each few milliseconds.
+      directory.endpointPicker.getLoad(endpoint.id)
+        .addFailure("unreachable", clock.getMonotonicMs());
       logger.warn("incarnation-unconfirmed", {
         endpoint: endpoint.id,
         reason: error.message,
--- a/packages/edge/src/lots/engine_picker.ts
+++ b/packages/edge/src/lots/engine_picker.ts
@@ -14,6 +14,7 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { EndpointAdmission } from "../limits/endpoint_admission.ts";
+import type { ReachMonitor } from "../reach/reach_monitor.ts";
 
 /** Weight of the newest sample in the moving average of tokens per event. */
 const SMOOTHING_FACTOR = 0.05;
@@ -26,6 +27,7 @@
   readonly directory: EndpointDirectory;
   readonly failureDomain: string;
   readonly admission: EndpointAdmission;
+  readonly reach: ReachMonitor;
 }
 
 /** A move of a running sample to another engine. */
@@ -165,10 +167,14 @@
     lot: LotRequest,
     route: RouteStructure,
   ): readonly EndpointStructure[] {
-    const { directory, clock, admission } = this.#options;
+    const { directory, clock, admission, reach } = this.#options;
     const nowMs = clock.getMonotonicMs();
+    const service = route.targets[0]?.service ?? "";
+    if (!reach.canSend(service)) {
+      return [];
+    }
     return listAvailableEngines({
-      engines: directory.listEndpoints(route.targets[0]?.service ?? "")
+      engines: directory.listEndpoints(service)
         .filter((engine) => admission.isAvailable(engine)),
       model: lot.model,
       minVersion: lot.minVersion,
--- a/packages/edge/src/lots/lot_owner.ts
+++ b/packages/edge/src/lots/lot_owner.ts
@@ -12,17 +12,13 @@
 import type { LedgerLot } from "@briarhill/rollout/ledger/ledger_lot";
 import { isTakenOver } from "@briarhill/rollout/ledger/lot_claim";
 import type { OpenLotEntry } from "@briarhill/rollout/ledger/open_lots";
-import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
+import { ClosedRunners } from "./closed_runners.ts";
 import type { LotCleaner } from "./lot_cleaner.ts";
 import type { LotPartition, LotPartitions } from "./lot_partitions.ts";
 import type { LotRunner, LotRunnerOptions } from "./lot_runner.ts";
 import type { LotClaims } from "./lot_claims.ts";
 import type { FollowedShard, ShardGroup } from "./shard_group.ts";
 
-/** How long the tasks of a closed lot are retained for reuse by the next lot, in milliseconds; a trainer submits its next step within a few seconds. */
-const TASK_RETENTION_MS = 8_000;
-/** How long attempts of a closed lot continue, in milliseconds; below the bound after which no call of a closed lot may reach an engine any more. */
-const CLOSED_ATTEMPT_TIMEOUT_MS = 2_000;
 /** Interval between checks of waiting samples, in milliseconds. */
 const BUSY_INTERVAL_MS = 25;
 /** The same interval while no lot is open; announced lots are checked at once. */
@@ -36,6 +32,8 @@
   readonly partitions: LotPartitions;
   readonly cleaner: LotCleaner;
   readonly claims: LotClaims;
+  /** Returns whether this host may run lots, as it reaches the endpoints as well as any other host does. */
+  readonly canHoldJobs: () => boolean;
   /** Id of this process. */
   readonly processId: string;
   readonly createRunner: (
@@ -45,11 +43,6 @@
   ) => LotRunner;
 }
 
-interface ClosedRunner {
-  readonly runner: LotRunner;
-  readonly closedAtMs: number;
-}
-
 /** Runs the lots of this host's shards. */
 export class LotOwner {
   readonly #options: LotOwnerOptions;
@@ -59,7 +52,8 @@
   readonly #previousOwners = new Map<string, string>();
   /** Lots whose records are being read to their end before they start. */
   readonly #starting = new Set<string>();
-  #closedRunners: readonly ClosedRunner[] = [];
+  readonly #closed = new ClosedRunners();
+  #isSuspended = false;
 
   constructor(options: LotOwnerOptions) {
     this.#options = options;
@@ -74,11 +68,8 @@
   /** Cancels all attempts, appends their progress to the log and leaves the group, so that other hosts continue the lots at once. */
   async stop(): Promise<void> {
     this.#stopping.abort();
-    this.#closedRunners.forEach(({ runner }) => runner.stop());
-    await Promise.all(
-      [...this.#runners.values()].map((runner) => runner.release()),
-    );
-    this.#runners.clear();
+    this.#closed.stop();
+    await this.#releaseRunners();
     await this.#options.group.stop();
   }
 
@@ -95,14 +86,42 @@
     const { clock } = this.#options;
     const { signal } = this.#stopping;
     while (!signal.aborted) {
+      await this.#advanceSuspension();
       this.#advance();
-      const isBusy = this.#runners.size > 0 || this.#closedRunners.length > 0;
+      const isBusy = this.#runners.size > 0 || this.#closed.size > 0;
       await clock.sleep(isBusy ? BUSY_INTERVAL_MS : IDLE_INTERVAL_MS, signal);
     }
   }
 
+  /** Gives all lots and shards to other hosts while this host may not run lots. */
+  async #advanceSuspension(): Promise<void> {
+    const { canHoldJobs, group, logger } = this.#options;
+    const isSuspended = !canHoldJobs();
+    if (isSuspended === this.#isSuspended) {
+      return;
+    }
+    this.#isSuspended = isSuspended;
+    if (!isSuspended) {
+      logger.info("lots-resumed");
+      group.resume();
+      return;
+    }
+    logger.warn("lots-released", { lots: this.#runners.size });
+    await this.#releaseRunners();
+    await group.suspend();
+  }
+
+  /** Until their progress is in the log, this process says that it runs the lots. */
+  async #releaseRunners(): Promise<void> {
+    await Promise.all(
+      [...this.#runners.values()].map((runner) => runner.release()),
+    );
+    this.#runners.clear();
+    this.#previousOwners.clear();
+  }
+
   #advance(): void {
-    if (this.#stopping.signal.aborted) {
+    if (this.#stopping.signal.aborted || this.#isSuspended) {
       return;
     }
     const open = new Set<string>();
@@ -122,7 +141,7 @@
         this.#closeRunner(id, runner);
       }
     }
-    this.#pruneClosed();
+    this.#closed.prune(this.#options.clock.getMonotonicMs());
   }
 
   #advanceShard(shard: FollowedShard, open: Set<string>): void {
@@ -189,7 +208,7 @@
     const runner = createRunner(
       lot,
       entry.partition,
-      (sample) => this.#takeEarlierTask(sample),
+      (sample) => this.#closed.takeTask(sample),
     );
     this.#runners.set(lot.id, runner);
     if (entry.owner !== undefined) {
@@ -221,30 +240,6 @@
       void runner.release();
       return;
     }
-    const closedAtMs = this.#options.clock.getMonotonicMs();
-    this.#closedRunners = [...this.#closedRunners, { runner, closedAtMs }];
-  }
-
-  /** Returns the sample's task from the lot that was closed last, if several lots have one. */
-  #takeEarlierTask(sample: string): SampleTask | undefined {
-    for (const { runner } of this.#closedRunners.toReversed()) {
-      const task = runner.takeTask(sample);
-      if (task !== undefined) {
-        return task;
-      }
-    }
-    return undefined;
-  }
-
-  #pruneClosed(): void {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    for (const { runner, closedAtMs } of this.#closedRunners) {
-      if (nowMs - closedAtMs > CLOSED_ATTEMPT_TIMEOUT_MS) {
-        runner.stop();
-      }
-    }
-    this.#closedRunners = this.#closedRunners.filter(({ closedAtMs }) =>
-      nowMs - closedAtMs < TASK_RETENTION_MS
-    );
+    this.#closed.addRunner(runner, this.#options.clock.getMonotonicMs());
   }
 }
--- a/packages/edge/src/lots/shard_group.ts
+++ b/packages/edge/src/lots/shard_group.ts
@@ -55,6 +55,7 @@
   #generation = 0;
   #hasJoined = false;
   #joinedAtMs = -Infinity;
+  #isSuspended = false;
 
   constructor(options: ShardGroupOptions) {
     this.#options = options;
@@ -112,6 +113,18 @@
     void this.#run();
   }
 
+  /** Leaves the group until the next call of {@link resume}, so that the shards are assigned to other hosts at once. */
+  async suspend(): Promise<void> {
+    this.#isSuspended = true;
+    this.#setOwned([]);
+    await this.#leave();
+  }
+
+  /** Joins the group again after {@link suspend}. */
+  resume(): void {
+    this.#isSuspended = false;
+  }
+
   /** Leaves the group, so that the shards are assigned to other hosts at once. */
   async stop(): Promise<void> {
     this.#stopping.abort();
@@ -120,6 +133,10 @@
     );
     this.#owned.clear();
     this.#lostShards.clear();
+    await this.#leave();
+  }
+
+  async #leave(): Promise<void> {
     try {
       await this.#options.log.leaveGroup(this.#createMembership());
     } catch (error) {
@@ -134,7 +151,7 @@
     const startedAtMs = clock.getMonotonicMs();
     while (!signal.aborted) {
       try {
-        if (await this.#shouldJoin()) {
+        if (!this.#isSuspended && await this.#shouldJoin()) {
           await this.#join();
         }
       } catch (error) {
@@ -168,6 +185,11 @@
     const { clock, log } = this.#options;
     const sentAtMs = clock.getMonotonicMs();
     const assignment = await log.joinGroup(this.#createMembership());
+    if (this.#isSuspended) {
+      // The join has overtaken the call by which this host leaves.
+      await this.#leave();
+      return;
+    }
     this.#joinedAtMs = sentAtMs;
     this.#generation = assignment.generation;
     this.#setOwned(assignment.partitions.map(({ partition }) => partition));
--- a/packages/edge/src/node/training_components.ts
+++ b/packages/edge/src/node/training_components.ts
@@ -72,6 +72,7 @@
     partitions,
     cleaner,
     claims,
+    canHoldJobs: () => serving.reach.canHoldJobs(),
     createRunner: createRunnerFactory(context, { appender, serving }),
   });
   const maxRecordBytes = settings.recordBytes;
@@ -121,6 +122,7 @@
     process: context.processId,
     minHandoverMs: settings.minOrderIntervalMs,
     claimDelayMs: MAX_CLAIM_DELAY_MS * random.getFloat(),
+    canHoldJobs: () => serving.reach.canHoldJobs(),
   });
   const orders = new OrderManager({
     ...context,
--- a/packages/edge/src/reach/reach_monitor.ts
+++ b/packages/edge/src/reach/reach_monitor.ts
@@ -20,8 +20,6 @@
 const CHECK_INTERVAL_MS = 50;
 /** Maximum random delay of the probes that a loss at another host causes, in milliseconds. */
 const MAX_CONFIRM_DELAY_MS = 100;
-/** Minimum time between two rounds that losses at other hosts cause, in milliseconds. */
-const CONFIRM_INTERVAL_MS = 2_000;
 /** Time for which a service has to be lost until this host gives its jobs away, in milliseconds: two probe rounds. */
 const JOB_RELEASE_MS = 350;
 
@@ -44,7 +42,6 @@
   readonly #probe: ServiceProbe;
   readonly #services = new Map<string, ServiceReach>();
   readonly #rounds = new Map<string, Promise<void>>();
-  readonly #confirmedAtMs = new Map<string, number>();
   #checkTimer: Timer | undefined;
   #isStopped = false;
 
@@ -112,6 +109,16 @@
     return this.paths.listRelays(service, this.#options.clock.getMonotonicMs());
   }
 
+  /**
+   * Returns whether requests can be sent to a service over connections of this host.
+   *
+   * @param service - The service.
+   */
+  canSend(service: string): boolean {
+    const reach = this.#services.get(service);
+    return reach === undefined || !reach.isLost || reach.hasLiveConnection;
+  }
+
   /**
    * Returns whether a request may have been lost with this host's links.
    *
@@ -230,18 +237,11 @@
 
   #checkReach(service: string): void {
     const { clock, random } = this.#options;
-    const nowMs = clock.getMonotonicMs();
-    const confirmedAtMs = this.#confirmedAtMs.get(service) ?? -Infinity;
-    if (
-      this.#getReach(service).isLost ||
-      nowMs - confirmedAtMs < CONFIRM_INTERVAL_MS
-    ) {
-      return;
+    if (this.#getReach(service).shouldConfirm(clock.getMonotonicMs())) {
+      clock.setTimer(
+        MAX_CONFIRM_DELAY_MS * random.getFloat(),
+        () => this.#startRound(service),
+      );
     }
-    this.#confirmedAtMs.set(service, nowMs);
-    clock.setTimer(
-      MAX_CONFIRM_DELAY_MS * random.getFloat(),
-      () => this.#startRound(service),
-    );
   }
 }
--- a/packages/edge/src/weights/lease_manager.ts
+++ b/packages/edge/src/weights/lease_manager.ts
@@ -36,6 +36,8 @@
   readonly process: string;
   readonly minHandoverMs: number;
   readonly claimDelayMs: number;
+  /** Returns whether this host may hold the lease, as it reaches the endpoints as well as any other host does. */
+  readonly canHoldJobs: () => boolean;
 }
 
 /** Claims, renews and releases the lease. */
@@ -102,7 +104,9 @@
       const isCurrent =
         now.monotonicMs - this.#follower.caughtUpAtMs < MAX_READ_AGE_MS;
       this.#lease.setEndOffset(this.#follower.endOffset);
-      const append = this.#lease.decideAppend(now, isCurrent);
+      const append = this.#options.canHoldJobs()
+        ? this.#lease.decideAppend(now, isCurrent)
+        : this.#lease.decideRelease(now);
       if (append !== undefined) {
         await this.#append(append);
       }
--- a/packages/edge/src/weights/order_manager.ts
+++ b/packages/edge/src/weights/order_manager.ts
@@ -23,6 +23,7 @@
 import type { EndpointSender } from "../calls/endpoint_sender.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { HostMetrics } from "../observe/host_metrics.ts";
+import type { ReachMonitor } from "../reach/reach_monitor.ts";
 import type { LeaseManager } from "./lease_manager.ts";
 
 /** Interval between comparisons of engines with the named versions, in milliseconds. */
@@ -46,6 +47,7 @@
   readonly lease: LeaseManager;
   readonly directory: EndpointDirectory;
   readonly sender: EndpointSender;
+  readonly reach: ReachMonitor;
   readonly holder: string;
   readonly metrics: HostMetrics;
   readonly getTable: () => RouteTable | undefined;
@@ -61,7 +63,6 @@
   /** The last report of each engine; newer than the state in the directory. */
   readonly #reports = new Map<string, EngineReport>();
   readonly #pausedUntilMs = new Map<string, number>();
-
   constructor(options: OrderManagerOptions) {
     this.#options = options;
   }
@@ -89,8 +90,10 @@
   }
 
   #decideOrders(): readonly LoadOrder[] {
-    const { directory, getTable, getVersions } = this.#options;
-    return (getTable()?.listEngineServices() ?? []).flatMap((service) => {
+    const { directory, getTable, getVersions, reach } = this.#options;
+    const services = getTable()?.listEngineServices() ?? [];
+    const reached = services.filter(({ name }) => reach.canSend(name));
+    return reached.flatMap((service) => {
       const wanted = [...getVersions()].filter(([model]) =>
         service.models.includes(model)
       );
--- a/packages/edge/test/node/platform_fixture.ts
+++ b/packages/edge/test/node/platform_fixture.ts
@@ -38,6 +38,11 @@
     await this.#waitForShares(count);
   }
 
+  /** Returns the number of the host that runs a lot; -1 if none does. */
+  getOwner(lot: string): number {
+    return this.#hosts.findIndex((host) => host.isRunning(lot));
+  }
+
   /** Stops the host that runs a lot. */
   async stopOwner(lot: string): Promise<void> {
     await this.#hosts.find((host) => host.isRunning(lot))?.stop();
--- a/packages/routing/src/endpoints/endpoint_load.ts
+++ b/packages/routing/src/endpoints/endpoint_load.ts
@@ -96,15 +96,28 @@
       this.#rejections++;
       this.#pausedUntilMs = nowMs + Math.min(pauseMs, MAX_REJECTION_PAUSE_MS);
     } else if (outcome !== "cancelled") {
-      this.#failures++;
-      const pauseMs = FIRST_FAILURE_PAUSE_MS * 2 ** (this.#failures - 1);
-      // A single corrupt response doesn't indicate a faulty endpoint.
-      if (outcome !== "broken" || this.#failures > 1) {
-        this.#pausedUntilMs = nowMs + Math.min(pauseMs, MAX_FAILURE_PAUSE_MS);
-      }
-      if (outcome === "closed") {
-        this.#closedUntilMs = nowMs + RECONNECT_INTERVAL_MS;
-      }
+      this.addFailure(outcome, nowMs);
+    }
+  }
+
+  /**
+   * Records a failed call.
+   *
+   * @param outcome - How it failed.
+   * @param nowMs - The current time.
+   */
+  addFailure(
+    outcome: Exclude<EndpointOutcome, "served" | "refused">,
+    nowMs: number,
+  ): void {
+    this.#failures++;
+    const pauseMs = FIRST_FAILURE_PAUSE_MS * 2 ** (this.#failures - 1);
+    // A single corrupt response doesn't indicate a faulty endpoint.
+    if (outcome !== "broken" || this.#failures > 1) {
+      this.#pausedUntilMs = nowMs + Math.min(pauseMs, MAX_FAILURE_PAUSE_MS);
+    }
+    if (outcome === "closed") {
+      this.#closedUntilMs = nowMs + RECONNECT_INTERVAL_MS;
     }
   }
 
--- a/packages/routing/src/reach/service_reach.ts
+++ b/packages/routing/src/reach/service_reach.ts
@@ -15,6 +15,8 @@
 const OPEN_INTERVAL_MS = 250;
 /** Time before the first failed round in which requests may have been lost already, in milliseconds: the longest wait for an event of a stream. */
 const UNNOTICED_MS = 2_500;
+/** Minimum time between two rounds that losses elsewhere cause, in milliseconds. */
+const CONFIRM_INTERVAL_MS = 2_000;
 const MAX_LOSSES = 16;
 
 /** Result of one probe round. */
@@ -45,6 +47,7 @@
   #doubtedAtMs = -Infinity;
   #isConnectDoubted = false;
   #lastRoundAtMs = -Infinity;
+  #confirmedAtMs = -Infinity;
   #reachedRounds = 0;
   #loss: Loss | undefined;
   #losses: readonly Loss[] = [];
@@ -100,6 +103,20 @@
       nowMs - this.#lastRoundAtMs >= OPEN_INTERVAL_MS;
   }
 
+  /**
+   * Returns whether a loss at another host or of another service calls for a probe
+   * round, and counts it as made.
+   *
+   * @param nowMs - The current time.
+   */
+  shouldConfirm(nowMs: number): boolean {
+    if (this.isLost || nowMs - this.#confirmedAtMs < CONFIRM_INTERVAL_MS) {
+      return false;
+    }
+    this.#confirmedAtMs = nowMs;
+    return true;
+  }
+
   /**
    * Returns the time until the next round while the service is lost, in milliseconds.
    *
