Blame no request for endpoints that only this host can't reach

A host whose links are refused sees what looks like the end of an endpoint under a request, and wrote it to keyed.crashes, so that all hosts ran the request on trial, and could reject it.

Cause: a refused connection was taken for the end of the endpoint, whatever else the host could reach; attempts lost in a cut were blamed when their endpoint restarted or left within 8 s for another reason. Class: as for calls, a view from one place taken for the state of the whole.

Ruled out: asking another host to probe the endpoint (one more way that can fail, and it may be cut as well).

Change: an ending counts at once only if the host reaches another endpoint of the service just then (of any service if there is none). Later signs don't count for attempts that were lost in, or up to 2.5 s before, a time in which the service was lost here and reached elsewhere, as other hosts said 0.8 s later.

The tests of crashing requests pass unchanged.

--- a/packages/edge/src/crashes/crash_guard.ts
+++ b/packages/edge/src/crashes/crash_guard.ts
@@ -13,6 +13,7 @@
 import type { CrashRecord } from "@briarhill/routing/crashes/crash_record";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { HostMetrics } from "../observe/host_metrics.ts";
+import type { ReachMonitor } from "../reach/reach_monitor.ts";
 import { type DoubtfulAttempt, DoubtfulAttempts } from "./doubtful_attempts.ts";
 import { EndpointProbe } from "./endpoint_probe.ts";
 import { hashRequest, type RequestContent } from "./request_digest.ts";
@@ -22,6 +23,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: HostMetrics;
+  /** Tells what is lost with this host's own links. */
+  readonly reach: ReachMonitor;
   /** Returns what is listed of an endpoint, if it may receive requests. */
   readonly getEndpoint: (id: string) => EndpointStructure | undefined;
   /** Called with an ending that this host has found, so that the other hosts learn of it. */
@@ -69,8 +72,9 @@
     candidates: readonly EndpointStructure[],
   ): CrashDecision {
     const { clock, getEndpoint } = this.#options;
-    this.#doubtful.takeRestarted(getEndpoint, clock.getMonotonicMs())
-      .forEach((attempt) => this.#addRecord(attempt));
+    this.#addRecords(
+      this.#doubtful.takeRestarted(getEndpoint, clock.getMonotonicMs()),
+    );
     if (request === undefined || this.history.size === 0) {
       return { kind: "unrestricted" };
     }
@@ -129,16 +133,27 @@
    * @param ids - The ids of the endpoints.
    */
   applyRemovals(ids: readonly string[]): void {
-    this.#doubtful.takeRemoved(ids, this.#options.clock.getMonotonicMs())
-      .forEach((attempt) => this.#addRecord(attempt));
+    this.#addRecords(
+      this.#doubtful.takeRemoved(ids, this.#options.clock.getMonotonicMs()),
+    );
+  }
+
+  /** An attempt that was lost with this host's links says nothing about its endpoint. */
+  #addRecords(attempts: readonly DoubtfulAttempt[]): void {
+    attempts.filter(({ endpoint, lostAtMs }) =>
+      !this.#options.reach.isLinkLoss(endpoint.service, lostAtMs)
+    ).forEach((attempt) => this.#addRecord(attempt));
   }
 
   async #probeEndpoint(
     { request, endpoint, isTrial }: GuardedAttempt,
     fault: string,
   ): Promise<void> {
-    const { clock, logger, metrics } = this.#options;
+    const { clock, logger, metrics, reach } = this.#options;
+    const lostAtMs = clock.getMonotonicMs();
     const listener = await this.#probe.probeListener(endpoint.address);
+    const hasLinks = listener !== "none" ||
+      await reach.probe.hasLinks(endpoint);
     const digest = this.#getDigest(request);
     metrics.addLostAttempt(listener);
     logger.warn("attempt-lost", {
@@ -147,11 +162,11 @@
       endpoint: endpoint.id,
       fault,
       listener,
+      hasLinks,
       isTrial,
     });
-    const lostAtMs = clock.getMonotonicMs();
     const attempt = { digest, endpoint, isTrial, lostAtMs };
-    listener === "none"
+    listener === "none" && hasLinks
       ? this.#addRecord(attempt)
       : this.#doubtful.addAttempt(attempt);
   }
--- a/packages/edge/src/crashes/create_crash_components.ts
+++ b/packages/edge/src/crashes/create_crash_components.ts
@@ -7,6 +7,7 @@
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { ShardOwnership } from "../limits/permit_owner.ts";
 import type { HostContext } from "../node/host_context.ts";
+import type { ReachMonitor } from "../reach/reach_monitor.ts";
 import { CrashGuard } from "./crash_guard.ts";
 import { SharedCrashes } from "./shared_crashes.ts";
 
@@ -24,10 +25,12 @@
  * declare const context: HostContext;
  * declare const log: SharedLog;
  * declare const directory: EndpointDirectory;
+ * declare const reach: ReachMonitor;
  *
  * const { crashGuard } = createCrashComponents(context, {
  *   log,
  *   directory,
+ *   reach,
  *   getOwnership: () => "none",
  * });
  * ```
@@ -39,12 +42,14 @@
   options: {
     readonly log: SharedLog;
     readonly directory: EndpointDirectory;
+    readonly reach: ReachMonitor;
     readonly getOwnership: (shard: number) => ShardOwnership;
   },
 ): CrashComponents {
   const { storePartitions } = context.settings;
   const crashGuard: CrashGuard = new CrashGuard({
     ...context,
+    reach: options.reach,
     getEndpoint: (id) => options.directory.getEndpoint(id),
     onFound: (record) => sharedCrashes.publishCrash(record),
     onCleared: (records) => sharedCrashes.removeCrashes(records),
--- a/packages/edge/src/endpoints/endpoint_directory.ts
+++ b/packages/edge/src/endpoints/endpoint_directory.ts
@@ -92,6 +92,13 @@
     );
   }
 
+  /** Returns the names of the services that have endpoints. */
+  listServices(): readonly string[] {
+    return [
+      ...new Set(this.#table.listUsable().map(({ service }) => service)),
+    ];
+  }
+
   /**
    * Returns an endpoint if it may receive requests, else undefined.
    *
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -100,17 +100,18 @@
     { ...options, directory },
   );
   const shared = { ...options, directory };
-  const crashComponents: CrashComponents = createCrashComponents(
-    context,
-    shared,
-  );
+  const reachComponents = createReachComponents(context, {
+    ...shared,
+    getTable: () => published.table,
+  });
+  const crashComponents: CrashComponents = createCrashComponents(context, {
+    ...shared,
+    ...reachComponents,
+  });
   const parts = {
     ...limitComponents,
+    ...reachComponents,
     ...crashComponents,
-    ...createReachComponents(context, {
-      ...shared,
-      getTable: () => published.table,
-    }),
     directory,
     published,
   };
--- a/packages/edge/src/reach/reach_monitor.ts
+++ b/packages/edge/src/reach/reach_monitor.ts
@@ -38,8 +38,8 @@
 export class ReachMonitor {
   /** What is known of the other hosts. */
   readonly paths: CallPaths;
+  readonly probe: ServiceProbe;
   readonly #options: ReachMonitorOptions;
-  readonly #probe: ServiceProbe;
   readonly #services = new Map<string, ServiceReach>();
   readonly #rounds = new Map<string, Promise<void>>();
   #checkTimer: Timer | undefined;
@@ -47,7 +47,7 @@
 
   constructor(options: ReachMonitorOptions) {
     this.#options = options;
-    this.#probe = new ServiceProbe(options);
+    this.probe = new ServiceProbe(options);
     this.paths = new CallPaths(options.local, options.random);
   }
 
@@ -186,7 +186,7 @@
     const { clock } = this.#options;
     const reach = this.#getReach(service);
     const startedAtMs = clock.getMonotonicMs();
-    const { probed, reached } = await this.#probe.probeService(service);
+    const { probed, reached } = await this.probe.probeService(service);
     const endedAtMs = clock.getMonotonicMs();
     const isReachedElsewhere = this.paths
       .listReaching(service, endedAtMs).length > 0;
--- a/packages/edge/src/reach/service_probe.ts
+++ b/packages/edge/src/reach/service_probe.ts
@@ -31,12 +31,14 @@
    * how many answered.
    *
    * @param service - The service.
+   * @param excluded - The id of an endpoint that is not probed.
    */
   async probeService(
     service: string,
+    excluded?: string,
   ): Promise<{ readonly probed: number; readonly reached: number }> {
     const path = this.#options.getHealthPath(service);
-    const endpoints = this.#pickEndpoints(service);
+    const endpoints = this.#pickEndpoints(service, excluded);
     const results = await Promise.all(
       endpoints.map(({ address }) => probeEndpoint(address, path)),
     );
@@ -44,10 +46,33 @@
     return { probed: endpoints.length, reached };
   }
 
+  /**
+   * Returns whether this host reaches another endpoint of the service of one that it
+   * does not reach, or of any service if there is none.
+   *
+   * @param endpoint - The endpoint that is not reached.
+   */
+  async hasLinks({ id, service }: EndpointStructure): Promise<boolean> {
+    const { probed, reached } = await this.probeService(service, id);
+    if (probed > 0) {
+      return reached > 0;
+    }
+    const others = await Promise.all(
+      this.#options.directory.listServices()
+        .filter((other) => other !== service)
+        .map((other) => this.probeService(other)),
+    );
+    return others.some((other) => other.reached > 0);
+  }
+
   /** Endpoints of different failure domains come first, as one domain may be lost alone. */
-  #pickEndpoints(service: string): readonly EndpointStructure[] {
+  #pickEndpoints(
+    service: string,
+    excluded: string | undefined,
+  ): readonly EndpointStructure[] {
     const { directory, random } = this.#options;
     const shuffled = directory.listEndpoints(service)
+      .filter(({ id }) => id !== excluded)
       .map((endpoint) => ({ endpoint, rank: random.getFloat() }))
       .toSorted((first, second) => first.rank - second.rank)
       .map(({ endpoint }) => endpoint);
--- a/packages/routing/src/reach/service_reach.ts
+++ b/packages/routing/src/reach/service_reach.ts
@@ -17,6 +17,8 @@
 const UNNOTICED_MS = 2_500;
 /** Minimum time between two rounds that losses elsewhere cause, in milliseconds. */
 const CONFIRM_INTERVAL_MS = 2_000;
+/** Time after which all hosts that have lost a service too have said so, in milliseconds: a probe round and the way through the store. */
+const SHARED_MS = 800;
 const MAX_LOSSES = 16;
 
 /** Result of one probe round. */
@@ -38,7 +40,10 @@
 interface Loss {
   readonly sinceMs: number;
   readonly untilMs: number;
+  /** In the last round. */
   readonly isReachedElsewhere: boolean;
+  /** In the first round after all other hosts had time to find the same; undefined before it. */
+  readonly isLinkLoss: boolean | undefined;
 }
 
 /** Whether this host reaches one service. All times are read from one monotonic clock. */
@@ -148,8 +153,11 @@
     this.#loss = {
       sinceMs: this.#loss?.sinceMs ?? startedAtMs,
       untilMs: Infinity,
-      isReachedElsewhere: isReachedElsewhere ||
-        this.#loss?.isReachedElsewhere === true,
+      isReachedElsewhere,
+      isLinkLoss: this.#loss?.isLinkLoss ??
+        (this.getLostMs(endedAtMs) < SHARED_MS
+          ? undefined
+          : isReachedElsewhere),
     };
     return isNew ? "lost" : "none";
   }
@@ -173,8 +181,8 @@
     const losses = this.#loss === undefined
       ? this.#losses
       : [...this.#losses, this.#loss];
-    return losses.some(({ sinceMs, untilMs, isReachedElsewhere }) =>
-      isReachedElsewhere && lostAtMs >= sinceMs - UNNOTICED_MS &&
+    return losses.some(({ sinceMs, untilMs, isLinkLoss }) =>
+      isLinkLoss !== false && lostAtMs >= sinceMs - UNNOTICED_MS &&
       lostAtMs <= untilMs
     );
   }
