Read the list of endpoints on after an entry that can't be decoded

What callers saw: nothing yet. With one entry whose value is nested some thousand levels deep, a host stopped applying the entries after it and read the list anew each 250 ms without ever getting past it; streams got 500. An entry with port 0, with an address such as 999.999.1:80, with an incarnation of 1e308 or 9e15 slots was listed as an endpoint.

Cause: the error for a field of the wrong type showed its value by a recursive JSON.stringify, whose RangeError is no InputError, so that it left the loop over entries. Class: an error path that does unbounded work on what it rejects.

Ruled out: catching every error in the loop (a fault of our own would be taken for a bad entry).

Change: an error names the kind of a nested value instead of the value; addresses are IPv4 with a port from 1 to 65535; incarnations are whole numbers and slots at most 1,000,000.

--- a/packages/edge/test/endpoints/endpoint_directory_test.ts
+++ b/packages/edge/test/endpoints/endpoint_directory_test.ts
@@ -85,3 +85,59 @@
     );
   });
 });
+
+describe("EndpointDirectory.applyRecords with an entry of another writer", () => {
+  const NESTING = 500_000;
+  const deep = "[".repeat(NESTING) + "]".repeat(NESTING);
+  const sound = {
+    service: "s",
+    address: "127.0.0.1:80",
+    state: "ready",
+    zone: "a",
+    born: 100,
+    sequence: 1,
+  };
+  const format = (fields: object) => JSON.stringify({ ...sound, ...fields });
+  const withDeep = (name: string) =>
+    format({ [name]: "DEEP" }).replace('"DEEP"', deep);
+
+  /** One entry that couldn't be decoded stopped the host from applying the entries after it, at each read again. */
+  const check = (title: string, entry: string) =>
+    it(`lists the other endpoints, and none for ${title}`, () => {
+      const { directory } = createSender();
+      const records = [
+        { key: "odd", value: Buffer.from(entry), offset: 0 },
+        { key: "sound", value: Buffer.from(format({})), offset: 1 },
+      ];
+      for (const apply of ["applyRecords", "applySnapshot"] as const) {
+        directory[apply](records);
+        assert.deepEqual(
+          directory.listEndpoints("s").map(({ id }) => id),
+          ["sound"],
+        );
+      }
+    });
+
+  for (const field of Object.keys(sound)) {
+    check(`a deeply nested "${field}"`, withDeep(field));
+  }
+  check("deeply nested slots", withDeep("slots"));
+  check("deeply nested models", withDeep("models"));
+  check("a number beyond all numbers", '{"sequence":1e999}');
+  check("an incarnation beyond all times", format({ born: 1e308 }));
+  check("slots beyond all servers", format({ slots: 9_007_199_254_740_991 }));
+  for (
+    const address of [
+      "127.0.0.1:0",
+      "127.0.0.1:65536",
+      "127.0.0.1:99999999999",
+      "999.999.1:80",
+      "....:80",
+      "256.0.0.1:80",
+      "127.0.0.1",
+    ]
+  ) {
+    check(`the address "${address}"`, format({ address }));
+  }
+  check("bytes that can't be read", "\u0000\ufffd{");
+});
--- a/packages/platform/src/records/endpoint_decoder.ts
+++ b/packages/platform/src/records/endpoint_decoder.ts
@@ -7,9 +7,13 @@
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { Buffer } from "node:buffer";
+import { isIPv4 } from "node:net";
 import { FieldReader } from "./field_reader.ts";
 
 const ADDRESS = /^([0-9.]+):(\d{1,5})$/;
+const MAX_PORT = 65_535;
+/** The number of slots above which an entry can't be one of a server. */
+const MAX_SLOTS = 1_000_000;
 
 /**
  * Parses an address of the form IP:PORT.
@@ -22,9 +26,10 @@
  */
 export function parseAddress(text: string): HttpAddress {
   const [, hostname, port] = ADDRESS.exec(text) ?? [];
-  if (hostname === undefined || Number(port) > 65_535) {
+  const isPort = Number(port) > 0 && Number(port) <= MAX_PORT;
+  if (hostname === undefined || !isIPv4(hostname) || !isPort) {
     throw new InputError(
-      `address "${text}" is invalid, expected IP:PORT with a port up to 65535`,
+      `address "${text}" is invalid, expected IP:PORT with a port from 1 to 65535`,
     );
   }
   return { hostname, port: Number(port) };
@@ -50,16 +55,22 @@
       `entry of endpoint "${id}" has state "${state}", expected "ready" or "draining"`,
     );
   }
+  const slots = fields.getInteger("slots", 1);
+  if (slots > MAX_SLOTS) {
+    throw new InputError(
+      `entry of endpoint "${id}" has ${slots} slots, expected at most ${MAX_SLOTS}`,
+    );
+  }
   return {
     id,
     service: fields.getText("service"),
     softwareVersion: fields.getText("version", ""),
     address: parseAddress(fields.getText("address")),
     failureDomain: fields.getText("zone"),
-    slots: Math.max(1, fields.getInteger("slots", 1)),
+    slots: Math.max(1, slots),
     isLeaving: state === "draining",
     coldMs: fields.getNumber("coldLeftMs", 0),
-    startedAtMs: fields.getNumber("born", 0),
+    startedAtMs: fields.getInteger("born", 0),
     models: decodeModels(fields),
     // In an entry, "sequence" counts entries; in reports and orders it counts
     // orders.
--- a/packages/platform/src/records/field_reader.ts
+++ b/packages/platform/src/records/field_reader.ts
@@ -6,6 +6,9 @@
 import { InputError } from "@briarhill/common/errors/errors";
 import type { Buffer } from "node:buffer";
 
+/** The length at which a value is cut in an error message, in characters. */
+const MAX_FOUND_LENGTH = 80;
+
 /** Reads the fields of a JSON object and checks their types. */
 export class FieldReader {
   readonly #description: string;
@@ -166,12 +169,21 @@
   }
 
   #createError(name: string, expected: string): InputError {
-    const found = JSON.stringify(this.#value[name]) ?? "missing";
+    const found = formatFound(this.#value[name]);
     return new InputError(
-      `"${name}" of ${this.#description} is ${
-        found.slice(0, 80)
-      }, expected ${expected}`,
+      `"${name}" of ${this.#description} is ${found}, expected ${expected}`,
       { props: { key: name } },
     );
   }
 }
+
+/** Formats a value for an error message; an object is not visited, as it may be nested without bound. */
+function formatFound(value: unknown): string {
+  if (value === undefined) {
+    return "missing";
+  }
+  if (typeof value === "object" && value !== null) {
+    return Array.isArray(value) ? "an array" : "an object";
+  }
+  return JSON.stringify(value).slice(0, MAX_FOUND_LENGTH);
+}
