Decode records of the order lease field by field

Cause: found while looking elsewhere for entries that can't be decoded. A record of the lease that is no JSON threw out of the loop, so that the records after it were lost, and fields were used without a check of their types.

Ruled out: nothing; only hosts write this topic, and no such record was seen.

Change: the records are decoded by the reader of all other records; one that can't be decoded is logged and skipped.

Measured: the tests of the lease pass unchanged.

--- a/packages/edge/src/weights/lease_manager.ts
+++ b/packages/edge/src/weights/lease_manager.ts
@@ -12,8 +12,10 @@
   type LeaseRecord,
   OrderLease,
 } from "@briarhill/control/orders/order_lease";
+import { FieldReader } from "@briarhill/platform/records/field_reader";
 import { LEASE_TOPIC } from "@briarhill/platform/names/topics";
 import { Buffer } from "node:buffer";
+import { applyRecords } from "../log/apply_records.ts";
 import { LogFollower } from "../log/log_follower.ts";
 
 const LEASE_PARTITION = { topic: LEASE_TOPIC, partition: 0 } as const;
@@ -26,6 +28,8 @@
 /** Maximum age of the last read for a claim or a renewal, in milliseconds. */
 const MAX_READ_AGE_MS = 900;
 
+const KINDS = ["claim", "renewal", "release"] as const;
+
 /** Options of a `LeaseManager`. */
 export interface LeaseManagerOptions {
   readonly log: SharedLog;
@@ -131,9 +135,11 @@
 
   #applyRecords(records: readonly LogRecord[]): void {
     const now = this.#getNow();
-    for (const { value, offset } of records) {
-      this.#lease.applyRecord(parseLeaseRecord(value), offset, now);
-    }
+    applyRecords(records, {
+      apply: ({ value, offset }) =>
+        this.#lease.applyRecord(decodeLeaseRecord(value), offset, now),
+      logger: this.#options.logger,
+    });
     const { isHolder } = this.#lease;
     if (isHolder !== this.#wasHolder) {
       const { logger } = this.#options;
@@ -154,10 +160,21 @@
   }
 }
 
-function parseLeaseRecord(value: Buffer): LeaseRecord {
-  const record: unknown = JSON.parse(value.toString());
-  if (typeof record !== "object" || record === null) {
-    throw new InputError("lease record is not a JSON object");
+function decodeLeaseRecord(value: Buffer): LeaseRecord {
+  const fields = FieldReader.parse("the lease record", value);
+  const kind = KINDS.find((each) => each === fields.getText("kind"));
+  if (kind === undefined) {
+    throw new InputError(
+      `the lease record is a "${fields.getText("kind")}", expected one of ${
+        KINDS.join(", ")
+      }`,
+    );
   }
-  return record as LeaseRecord;
+  return {
+    kind,
+    host: fields.getText("host"),
+    process: fields.getText("process"),
+    waitMs: fields.getNumber("waitMs"),
+    sequence: fields.getInteger("sequence"),
+  };
 }
