Take a response without a length that is reset as broken off

What callers saw: nothing yet. A 200 without a length whose connection was reset midway was passed on as whole, with the length of the part that had come; a stream of that kind ended as complete, and a sample as finished.

Cause: Node ends such a body at the end of its connection, whether by a close or by a reset; the error is told to the request, before, and nothing read it once the head had arrived. Class: an end of input that two events mean, read from one.

Change: a response whose request reports an error after the head counts as broken off, wherever completeness is asked: bodies, streams, samples, answers of peers.

--- a/packages/common/src/http/body_reader.ts
+++ b/packages/common/src/http/body_reader.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import type { PortFault } from "../errors/errors.ts";
 import { createPortError } from "../errors/port_error.ts";
+import { isComplete } from "./response_completeness.ts";
 
 /**
  * The largest body that is drained to reuse its connection, in bytes; a
@@ -70,7 +71,7 @@
     });
     stream.on("close", () => {
       clearTimeout(timer);
-      if (stream.complete && fault === undefined) {
+      if (isComplete(stream) && fault === undefined) {
         resolve(Buffer.concat(chunks));
         return;
       }
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -14,6 +14,7 @@
 import type { PortError, PortFault } from "../errors/errors.ts";
 import { createPortError } from "../errors/port_error.ts";
 import { readBody } from "./body_reader.ts";
+import { addBrokenResponse } from "./response_completeness.ts";
 import type {
   HttpRequest,
   HttpResponse,
@@ -61,6 +62,7 @@
    */
   open(exchange: HttpRequest): Promise<HttpResponseHead> {
     return new Promise((resolve, reject) => {
+      let response: IncomingMessage | undefined;
       const outgoing = this.#createRequest(exchange);
       const watch = this.#startWatch(outgoing, exchange);
       let isRepeat = false;
@@ -72,8 +74,9 @@
           outgoing.destroy();
         }
       });
-      outgoing.on("response", (response: IncomingMessage) => {
+      outgoing.on("response", (incoming: IncomingMessage) => {
         watch.clear();
+        response = incoming;
         // Without a listener, a connection reset after the head would
         // terminate the process.
         response.on("error", () => undefined);
@@ -86,6 +89,9 @@
       });
       outgoing.on("error", (error) => {
         watch.clear();
+        if (response !== undefined) {
+          addBrokenResponse(response);
+        }
         isRepeat
           ? this.open(exchange).then(resolve, reject)
           : reject(watch.createError(error));
--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { drainBody } from "@briarhill/common/http/body_reader";
+import { isComplete } from "@briarhill/common/http/response_completeness";
 import type { HttpResponseHead } from "@briarhill/common/http/http_exchange";
 import { PortError } from "@briarhill/common/errors/errors";
 import type { Clock } from "@briarhill/common/time/clock";
@@ -108,7 +109,7 @@
       }
     });
     head.stream.on("close", () => {
-      if (head.stream.complete) {
+      if (isComplete(head.stream)) {
         response.end();
         resolve("whole");
         return;
--- a/packages/edge/src/lots/generation_reader.ts
+++ b/packages/edge/src/lots/generation_reader.ts
@@ -2,6 +2,7 @@
  * Reads the event stream of one attempt at a sample.
  * @module
  */
+import { isComplete } from "@briarhill/common/http/response_completeness";
 import { InputError, type PortError } from "@briarhill/common/errors/errors";
 import { createPortError } from "@briarhill/common/errors/port_error";
 import type { Clock, Timer } from "@briarhill/common/time/clock";
@@ -122,7 +123,7 @@
     if (this.#earlyReport !== undefined) {
       return this.#earlyReport;
     }
-    return stream.complete && !this.#decoder.hasPartialEvent
+    return isComplete(stream) && !this.#decoder.hasPartialEvent
       ? { end: "finished", reason: "" }
       : { end: "broken", reason: "cut" };
   }
--- a/packages/edge/test/lots/sample_generation_test.ts
+++ b/packages/edge/test/lots/sample_generation_test.ts
@@ -110,4 +110,20 @@
     assert.equal(report.end, "finished");
     assert.equal(task.eventCount, 4);
   });
+
+  /** The text of an error must not become part of a sample that is resumed at another engine. */
+  it("adds nothing to the sample from a response that is an error", async () => {
+    for (const status of ["500 Failed", "404 Gone", "503 Full", "302 Moved"]) {
+      const body = "id: 1\ndata: an error\n\n";
+      const { report, task } = await runScript((socket) =>
+        socket.write(
+          `${
+            HEAD.replace("200 OK", status)
+          }Content-Length: ${body.length}\r\n\r\n${body}`,
+        )
+      );
+      assert.notEqual(report.end, "finished", status);
+      assert.equal(task.eventCount, 0, status);
+    }
+  });
 });
