Take a read of the log for as old as its request if its response was held up

Cause: a host that wakes reads the response of a long-polling read that was sent before it was suspended, and took the state in it for the newest, so that the check of the view's age, which the other host relies on, passed. Class: an age that is counted from when a message is handled, not from when it was true.

Ruled out: hosts that never froze answer from a view of their own (their own follower was 1 s old at most); the check of the clocks (it sees the suspension).

Change: a response that took 250 ms longer than its wait, by the clock that has advanced further, counts as old as its request. A forwarded read of results is checked once more after it has waited.

--- a/packages/common/src/http/response_completeness.ts
+++ b/packages/common/src/http/response_completeness.ts
@@ -13,7 +13,7 @@
  *
  * @example
  * ```ts
- * declare const response: IncomingMessage;
+ * declare const response: import("node:http").IncomingMessage;
  *
  * addBrokenResponse(response);
  * ```
@@ -28,7 +28,7 @@
  *
  * @example
  * ```ts
- * declare const response: IncomingMessage;
+ * declare const response: import("node:http").IncomingMessage;
  *
  * const isWhole = isComplete(response);
  * ```
--- a/packages/edge/src/log/log_follower.ts
+++ b/packages/edge/src/log/log_follower.ts
@@ -6,6 +6,7 @@
 import { TrimmedLogError } from "@briarhill/common/errors/errors";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type {
+  LogBatch,
   LogPartition,
   LogRecord,
   SharedLog,
@@ -17,6 +18,14 @@
  * together within the rate that the store allows while it is unreachable.
  */
 const RETRY_DELAY_MS = 250;
+/** Time beyond its wait within which a response counts as just sent, in milliseconds; with the wait it stays below the bound of the platform for outdated answers. */
+const MAX_RESPONSE_DELAY_MS = 250;
+
+/** Readings of both clocks at one moment. */
+interface ClockReading {
+  readonly monotonicMs: number;
+  readonly wallMs: number;
+}
 
 /** Options of a {@link LogFollower}. */
 export interface LogFollowerOptions {
@@ -109,8 +118,9 @@
     if (this.#position === undefined) {
       await this.#readSnapshot();
     }
+    const sentAt = this.#getNow();
     const batch = await log.read(place, this.#position ?? 0, 0);
-    this.#applyBatch(batch);
+    this.#applyBatch(batch, this.#getStateTime(sentAt, 0));
   }
 
   async #run(): Promise<void> {
@@ -139,8 +149,9 @@
       return false;
     }
     try {
+      const sentAt = this.#getNow();
       const batch = await log.read(place, this.#position, waitMs);
-      return this.#applyBatch(batch);
+      return this.#applyBatch(batch, this.#getStateTime(sentAt, waitMs));
     } catch (error) {
       if (!(error instanceof TrimmedLogError)) {
         throw error;
@@ -174,26 +185,23 @@
       onSnapshot([]);
       return;
     }
+    const sentAt = this.#getNow();
     const { records, nextOffset } = await log.readNewest(place);
     // The next read returns the records that were appended while the pages were read.
     onSnapshot(records.filter(({ offset }) => offset < nextOffset));
     this.#position = nextOffset;
     this.#endOffset = nextOffset;
-    this.#setCaughtUp();
+    this.#setCaughtUp(sentAt);
   }
 
   /** Delivers only the records from the current position on, as two reads may overlap. */
-  #applyBatch(batch: {
-    readonly records: readonly LogRecord[];
-    readonly nextOffset: number;
-    readonly endOffset: number;
-  }): boolean {
+  #applyBatch(batch: LogBatch, stateAt: ClockReading): boolean {
     const position = this.#position ?? 0;
     const newRecords = batch.records.filter(({ offset }) => offset >= position);
     this.#position = Math.max(position, batch.nextOffset);
     this.#endOffset = Math.max(this.#endOffset, batch.endOffset);
     if (this.#position >= this.#endOffset) {
-      this.#setCaughtUp();
+      this.#setCaughtUp(stateAt);
     }
     if (newRecords.length > 0) {
       this.#options.onRecords(newRecords);
@@ -201,10 +209,28 @@
     return newRecords.length > 0;
   }
 
-  #setCaughtUp(): void {
+  #setCaughtUp({ monotonicMs, wallMs }: ClockReading): void {
+    this.#caughtUpAtMs = monotonicMs;
+    this.#caughtUpAtWallMs = wallMs;
+  }
+
+  #getNow(): ClockReading {
     const { clock } = this.#options;
-    this.#caughtUpAtMs = clock.getMonotonicMs();
-    this.#caughtUpAtWallMs = clock.getWallMs();
+    return { monotonicMs: clock.getMonotonicMs(), wallMs: clock.getWallMs() };
+  }
+
+  /**
+   * Returns the time as of which a response tells the state of the log. A response
+   * that took longer than its wait was held up on its way or by a suspension of this
+   * host, and may be as old as its request.
+   */
+  #getStateTime(sentAt: ClockReading, waitMs: number): ClockReading {
+    const now = this.#getNow();
+    const tookMs = Math.max(
+      now.monotonicMs - sentAt.monotonicMs,
+      now.wallMs - sentAt.wallMs,
+    );
+    return tookMs > waitMs + MAX_RESPONSE_DELAY_MS ? sentAt : now;
   }
 
   #setFailing(isFailing: boolean, error?: unknown): void {
--- a/packages/edge/src/lots/lot_routes.ts
+++ b/packages/edge/src/lots/lot_routes.ts
@@ -98,16 +98,19 @@
     read: { readonly lot: string; readonly after: number },
   ): Promise<void> {
     const { lotHandler } = this.#options;
-    const answer = await lotHandler.findLot(read.lot, getMaxAgeMs(exchange));
+    const maxAgeMs = getMaxAgeMs(exchange);
+    let answer = await lotHandler.findLot(read.lot, maxAgeMs);
+    const waitMs = Math.min(exchange.head.waitMs, MAX_WAIT_MS);
+    if (answer.kind === "found" && waitMs > 0) {
+      await lotHandler.waitResult(answer.lot, read.after, waitMs);
+      // This host may have been suspended while it waited.
+      answer = await lotHandler.findLot(read.lot, maxAgeMs);
+    }
     if (answer.kind !== "found") {
       this.#writeMissing(exchange, read.lot, answer);
       return;
     }
     const { lot } = answer;
-    const waitMs = Math.min(exchange.head.waitMs, MAX_WAIT_MS);
-    if (waitMs > 0) {
-      await lotHandler.waitResult(lot, read.after, waitMs);
-    }
     writeReply(exchange.response, {
       status: 200,
       headers: ["Content-Type", "application/json"],
--- a/packages/edge/test/log/in_memory_log.ts
+++ b/packages/edge/test/log/in_memory_log.ts
@@ -15,6 +15,8 @@
   readonly #clock: Clock;
   readonly #records: LogRecord[] = [];
   isUnreachable = false;
+  /** While set, responses of long-polling reads arrive only once it has resolved. */
+  heldResponses: Promise<void> | undefined;
   /** The partition holders, the same for every group. */
   holders: readonly PartitionHolder[] = [];
 
@@ -44,7 +46,11 @@
       await this.#clock.sleep(waitMs);
       this.#throwIfUnreachable();
     }
-    return this.#createBatch(this.#records.slice(fromOffset));
+    const batch = this.#createBatch(this.#records.slice(fromOffset));
+    if (waitMs > 0) {
+      await this.heldResponses;
+    }
+    return batch;
   }
 
   override readNewest(): Promise<LogBatch> {
--- a/packages/edge/test/lots/lot_handler_test.ts
+++ b/packages/edge/test/lots/lot_handler_test.ts
@@ -94,6 +94,44 @@
   });
 });
 
+describe("LotHandler.findLot after a suspension within a read", () => {
+  /** The response of a read that was sent before the suspension was taken for the newest state. */
+  async function findAfterSuspension(lot: string, maxAgeMs?: number) {
+    const { clock, log, lotHandler } = await createLotHandler();
+    let release = () => {};
+    log.heldResponses = new Promise((resolve) => release = resolve);
+    // The long-polling read in progress ends, and its response is held.
+    clock.advance(FORWARDED_MAX_AGE_MS);
+    await settle();
+    await appendResult(log);
+    await log.append(
+      PARTITION,
+      encodeLot(
+        { ...createLot(), id: "lot-2" } as unknown as Parameters<
+          typeof encodeLot
+        >[0],
+        { nonce: "m", maxRecordBytes: 1_000 },
+      ),
+    );
+    clock.advanceWallClock(3_000);
+    // The next one is under way when the lot is looked up.
+    log.heldResponses = new Promise(() => {});
+    release();
+    await settle();
+    return await lotHandler.findLot(lot, maxAgeMs);
+  }
+
+  it("finds a lot that was accepted meanwhile", async () => {
+    assert.equal((await findAfterSuspension("lot-2")).kind, "found");
+  });
+
+  it("returns the results that were read elsewhere meanwhile", async () => {
+    const answer = await findAfterSuspension("lot-1", FORWARDED_MAX_AGE_MS);
+    assert.ok(answer.kind === "found");
+    assert.equal(answer.lot.results.length, 1);
+  });
+});
+
 describe("LotPartitions.prune", () => {
   it("stops following partitions only after the retention period without use", async () => {
     const { clock, partitions } = await createLotHandler();
