Try a store that is away by a call of its own

Cause: once a second the next call of a host, whatever it was, was sent to the silent store directly; a join of the group that waits for its timeout can't be relayed any more and fails, and the shards that it would have got lie idle. Class: a probe that is paid for by the request that happens to come.

Ruled out: hedging joins over another host (they change state).

Change: while the store is away, all calls go over other hosts; each second a read of its own tries the store.

Evidence: relayed_transport_test fails on the commit before (the call in the second second fails after its timeout) and passes.

--- a/packages/edge/src/peers/relayed_transport.ts
+++ b/packages/edge/src/peers/relayed_transport.ts
@@ -15,6 +15,7 @@
 import { HttpSender } from "@briarhill/common/http/http_sender";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
+import { LOG_OWNERS_PATH } from "@briarhill/platform/names/paths";
 import {
   type StoreCall,
   StoreTransport,
@@ -24,6 +25,10 @@
 export const RELAY_HEADER = "Briarhill-Relay";
 /** The interval at which an unavailable store is tried directly, in milliseconds. */
 const DIRECT_RETRY_INTERVAL_MS = 1_000;
+/** The timeout of the call that tries the store, in milliseconds. */
+const PROBE_TIMEOUT_MS = 500;
+/** The group that this call asks for; it needs no members. */
+const PROBED_GROUP = "probe";
 /** The timeout for the response body after its head, in milliseconds. */
 const BODY_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 400;
@@ -67,7 +72,8 @@
   }
 
   override async call(call: StoreCall): Promise<HttpResponse> {
-    if (!this.#shouldTryDirect()) {
+    if (this.#isStoreUnavailable) {
+      this.#startDueProbe();
       return await this.#callPeers(call) ?? await this.callDirect(call);
     }
     try {
@@ -110,13 +116,22 @@
     this.#sender.close();
   }
 
-  #shouldTryDirect(): boolean {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    if (this.#isStoreUnavailable && nowMs < this.#retryDirectAtMs) {
-      return false;
+  /** The store is tried by a call of its own, as a host's own calls would wait for their timeout. */
+  #startDueProbe(): void {
+    const { clock, logger } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    if (nowMs < this.#retryDirectAtMs) {
+      return;
     }
     this.#retryDirectAtMs = nowMs + DIRECT_RETRY_INTERVAL_MS;
-    return true;
+    this.callDirect({
+      method: "GET",
+      path: `${LOG_OWNERS_PATH}?group=${PROBED_GROUP}`,
+      timeoutMs: PROBE_TIMEOUT_MS,
+      mayRelay: false,
+    }).catch((error: unknown) =>
+      logger.warn("store-probe-failed", { reason: String(error) })
+    );
   }
 
   /** Relays a call through other hosts. Returns undefined if none could relay it and it has not run. */
--- /dev/null
+++ b/packages/edge/test/peers/relayed_transport_test.ts
@@ -0,0 +1,74 @@
+import { Logger, setLogWriter } from "@briarhill/common/logging/logger";
+import { SystemClock } from "@briarhill/common/time/system_clock";
+import assert from "node:assert/strict";
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { RelayedTransport } from "../../src/peers/relayed_transport.ts";
+
+setLogWriter(() => undefined);
+
+const CALL_TIMEOUT_MS = 800;
+/** Far below the timeout of a call; a busy machine delays timers. */
+const AT_ONCE_MS = 400;
+const CALLS = 25;
+const CALL_INTERVAL_MS = 100;
+
+async function startServer(handle: RequestListener): Promise<Server> {
+  const server = createServer(handle);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return server;
+}
+
+function getAddress(server: Server) {
+  const { port } = server.address() as AddressInfo;
+  return { hostname: "127.0.0.1", port };
+}
+
+describe("RelayedTransport.call while the store is silent to this host", () => {
+  /** Once a second a call that changes something was spent on the silent store, and failed after its timeout. */
+  it("sends all calls after the first over another host, and returns to the store when it answers", async () => {
+    let isSilent = true;
+    const direct: string[] = [];
+    const store = await startServer((request, response) => {
+      direct.push(request.url ?? "");
+      isSilent || response.end("store");
+    });
+    const peer = await startServer((_, response) => response.end("peer"));
+    const transport = new RelayedTransport({
+      store: getAddress(store),
+      clock: new SystemClock(),
+      logger: Logger.create({}),
+      listPeers: () => [getAddress(peer)],
+    });
+    const call = (number: number) =>
+      transport.call({
+        method: "POST",
+        path: `/call-${number}`,
+        timeoutMs: CALL_TIMEOUT_MS,
+        mayRelay: true,
+      });
+    await assert.rejects(call(0));
+    for (let number = 1; number <= CALLS; number++) {
+      const startMs = performance.now();
+      const { body } = await call(number);
+      assert.equal(body.toString(), "peer");
+      assert.ok(performance.now() - startMs < AT_ONCE_MS, `call ${number}`);
+      await sleep(CALL_INTERVAL_MS);
+    }
+    assert.ok(direct.every((path) => !/call-[1-9]/.test(path)), `${direct}`);
+    isSilent = false;
+    let answer = "";
+    for (let number = 1; number <= CALLS && answer !== "store"; number++) {
+      answer = (await call(100 + number)).body.toString();
+      await sleep(CALL_INTERVAL_MS);
+    }
+    assert.equal(answer, "store");
+    transport.close();
+    [store, peer].forEach((server) => {
+      server.closeAllConnections();
+      server.close();
+    });
+  });
+});
