Use open connections while no host can open new ones

Cause: a lost service was taken for one without any connection; an answer on an old one would have shown otherwise, but nothing was sent to get it.

Change: if new connections are refused at once (rather than silent) and no other host reaches the service, calls, samples and orders go on over open connections until one of them fails.

--- a/packages/edge/src/reach/reach_monitor.ts
+++ b/packages/edge/src/reach/reach_monitor.ts
@@ -116,7 +116,7 @@
    */
   canSend(service: string): boolean {
     const reach = this.#services.get(service);
-    return reach === undefined || !reach.isLost || reach.hasLiveConnection;
+    return reach === undefined || !reach.isLost || reach.hasOpenConnections;
   }
 
   /**
@@ -186,24 +186,23 @@
     const { clock } = this.#options;
     const reach = this.#getReach(service);
     const startedAtMs = clock.getMonotonicMs();
-    const { probed, reached } = await this.probe.probeService(service);
+    const probes = await this.probe.probeService(service);
     const endedAtMs = clock.getMonotonicMs();
     const isReachedElsewhere = this.paths
       .listReaching(service, endedAtMs).length > 0;
     const change = reach.applyRound({
+      ...probes,
       startedAtMs,
       endedAtMs,
-      probed,
-      reached,
       isReachedElsewhere,
     });
-    this.#applyChange(service, change, { probed, reached, isReachedElsewhere });
+    this.#applyChange(service, change, { ...probes, isReachedElsewhere });
   }
 
   #applyChange(
     service: string,
     change: ReachChange,
-    fields: Pick<ProbeRound, "probed" | "reached" | "isReachedElsewhere">,
+    fields: Omit<ProbeRound, "startedAtMs" | "endedAtMs">,
   ): void {
     const { logger, metrics, onChange, directory } = this.#options;
     if (change !== "none") {
--- a/packages/edge/src/reach/reach_probe.ts
+++ b/packages/edge/src/reach/reach_probe.ts
@@ -9,13 +9,16 @@
 /** The timeout of a probe, in milliseconds: several round trips between failure domains and the delay of a busy endpoint. */
 const PROBE_TIMEOUT_MS = 120;
 
+/** What a probe has found: "refused" if a connection was rejected at once, "silent" if nothing has answered. */
+export type ProbeResult = "reached" | "refused" | "silent";
+
 /**
  * Returns whether an endpoint can be reached over a new connection. A connection
  * that is reset once it is open counts, as the endpoint has reset it.
  *
  * @example
  * ```ts
- * const isReached = await probeEndpoint({ hostname: "127.0.0.1", port: 80 }, "/");
+ * const result = await probeEndpoint({ hostname: "127.0.0.1", port: 80 }, "/");
  * ```
  * @param address - The address of the endpoint.
  * @param path - The path of its health check.
@@ -23,31 +26,27 @@
 export function probeEndpoint(
   { hostname, port }: HttpAddress,
   path: string,
-): Promise<boolean> {
+): Promise<ProbeResult> {
   return new Promise((resolve) => {
     const outgoing = request({ host: hostname, port, path, agent: false });
     let isConnected = false;
-    let isSilent = false;
-    const settle = (isReached: boolean) => {
+    const settle = (result: ProbeResult) => {
       clearTimeout(timer);
+      resolve(result);
       outgoing.destroy();
-      resolve(isReached);
     };
     const timer = setTimeout(() => {
       // An answer that has arrived while this process was not running is read first.
-      setImmediate(() => {
-        isSilent = true;
-        settle(false);
-      });
+      setImmediate(() => settle("silent"));
     }, PROBE_TIMEOUT_MS);
     outgoing.on("socket", (socket) => {
       socket.once("connect", () => isConnected = true);
     });
     outgoing.on("response", (response) => {
       response.on("error", () => undefined);
-      settle(true);
+      settle("reached");
     });
-    outgoing.on("error", () => settle(isConnected && !isSilent));
+    outgoing.on("error", () => settle(isConnected ? "reached" : "refused"));
     outgoing.end();
   });
 }
--- a/packages/edge/src/reach/service_probe.ts
+++ b/packages/edge/src/reach/service_probe.ts
@@ -4,8 +4,9 @@
  */
 import type { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
+import type { ProbeRound } from "@briarhill/routing/reach/service_reach";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
-import { probeEndpoint } from "./reach_probe.ts";
+import { probeEndpoint, type ProbeResult } from "./reach_probe.ts";
 
 /** Maximum number of endpoints that one round probes. */
 const PROBES_PER_ROUND = 3;
@@ -27,8 +28,8 @@
   }
 
   /**
-   * Probes some endpoints of a service at once, and returns how many were probed and
-   * how many answered.
+   * Probes some endpoints of a service at once, and returns how many were probed, how
+   * many answered, and how many refused the connection.
    *
    * @param service - The service.
    * @param excluded - The id of an endpoint that is not probed.
@@ -36,14 +37,19 @@
   async probeService(
     service: string,
     excluded?: string,
-  ): Promise<{ readonly probed: number; readonly reached: number }> {
+  ): Promise<Pick<ProbeRound, "probed" | "reached" | "refused">> {
     const path = this.#options.getHealthPath(service);
     const endpoints = this.#pickEndpoints(service, excluded);
     const results = await Promise.all(
       endpoints.map(({ address }) => probeEndpoint(address, path)),
     );
-    const reached = results.filter((isReached) => isReached).length;
-    return { probed: endpoints.length, reached };
+    const countResults = (kind: ProbeResult) =>
+      results.filter((result) => result === kind).length;
+    return {
+      probed: endpoints.length,
+      reached: countResults("reached"),
+      refused: countResults("refused"),
+    };
   }
 
   /**
--- a/packages/routing/src/reach/call_paths.ts
+++ b/packages/routing/src/reach/call_paths.ts
@@ -182,7 +182,7 @@
     if (hosts.length > 0) {
       return { kind: "relayed", hosts };
     }
-    return reach.hasLiveConnection
+    return reach.hasOpenConnections
       ? { kind: "direct" }
       : { kind: "none", retryAfterMs: reach.getNextRoundMs(nowMs) };
   }
--- a/packages/routing/src/reach/service_reach.ts
+++ b/packages/routing/src/reach/service_reach.ts
@@ -29,6 +29,8 @@
   readonly probed: number;
   /** Number of endpoints that answered. */
   readonly reached: number;
+  /** Number of endpoints that refused the connection at once. */
+  readonly refused: number;
   /** Whether other hosts reach the service as far as is known. */
   readonly isReachedElsewhere: boolean;
 }
@@ -40,6 +42,8 @@
 interface Loss {
   readonly sinceMs: number;
   readonly untilMs: number;
+  /** Whether all probes of the first round were refused. */
+  readonly isRefused: boolean;
   /** In the last round. */
   readonly isReachedElsewhere: boolean;
   /** In the first round after all other hosts had time to find the same; undefined before it. */
@@ -67,10 +71,18 @@
     return this.#loss?.isReachedElsewhere ?? true;
   }
 
-  /** Whether an endpoint has answered on an open connection since the service was lost. */
-  get hasLiveConnection(): boolean {
-    return this.#loss !== undefined &&
-      this.#lastAnswerAtMs > this.#loss.sinceMs;
+  /**
+   * Whether connections that were open when the service was lost may still work: new
+   * ones are refused rather than silent, and nothing sent since then has failed.
+   */
+  get hasOpenConnections(): boolean {
+    if (this.#loss === undefined) {
+      return false;
+    }
+    const { sinceMs, isRefused } = this.#loss;
+    return this.#doubtedAtMs > sinceMs
+      ? this.#lastAnswerAtMs > this.#doubtedAtMs
+      : isRefused || this.#lastAnswerAtMs > sinceMs;
   }
 
   /**
@@ -89,8 +101,11 @@
    * @param isUnconnected - Whether no connection was established for it.
    */
   addDoubt(sentAtMs: number, isUnconnected: boolean): void {
-    this.#doubtedAtMs = Math.max(this.#doubtedAtMs, sentAtMs);
     this.#isConnectDoubted ||= isUnconnected;
+    // A refused connection says nothing about those that are open.
+    if (!isUnconnected || this.#loss === undefined) {
+      this.#doubtedAtMs = Math.max(this.#doubtedAtMs, sentAtMs);
+    }
   }
 
   /**
@@ -137,7 +152,7 @@
    * @param round - The result.
    */
   applyRound(round: ProbeRound): ReachChange {
-    const { startedAtMs, endedAtMs, probed, reached } = round;
+    const { startedAtMs, endedAtMs, probed, reached, refused } = round;
     this.#lastRoundAtMs = startedAtMs;
     if (reached > 0) {
       this.#lastAnswerAtMs = endedAtMs;
@@ -153,6 +168,7 @@
     this.#loss = {
       sinceMs: this.#loss?.sinceMs ?? startedAtMs,
       untilMs: Infinity,
+      isRefused: this.#loss?.isRefused ?? refused === probed,
       isReachedElsewhere,
       isLinkLoss: this.#loss?.isLinkLoss ??
         (this.getLostMs(endedAtMs) < SHARED_MS
--- a/packages/routing/test/reach/call_paths_test.ts
+++ b/packages/routing/test/reach/call_paths_test.ts
@@ -14,6 +14,7 @@
       endedAtMs: NOW_MS - 100,
       probed: 3,
       reached: 0,
+      refused: 0,
       isReachedElsewhere: true,
     });
   }
--- a/packages/routing/test/reach/service_reach_test.ts
+++ b/packages/routing/test/reach/service_reach_test.ts
@@ -14,6 +14,7 @@
     endedAtMs: startedAtMs + 100,
     probed: 3,
     reached: 0,
+    refused: 0,
     isReachedElsewhere: true,
     ...fields,
   };
@@ -86,6 +87,37 @@
   });
 });
 
+describe("ServiceReach.hasOpenConnections", () => {
+  const check = (
+    title: string,
+    { refused, expected }: {
+      readonly refused: number;
+      readonly expected: boolean;
+    },
+    prepare: (reach: ServiceReach) => void = () => undefined,
+  ) =>
+    it(title, () => {
+      const reach = createLost({ refused });
+      prepare(reach);
+      assert.equal(reach.hasOpenConnections, expected);
+    });
+
+  check("is true while new ones are refused", { refused: 3, expected: true });
+  check("is false while new ones are silent", { refused: 0, expected: false });
+  check("is true once an open one has answered", {
+    refused: 0,
+    expected: true,
+  }, (reach) => reach.addAnswer(1_200));
+  check("is false once a request on an open one has failed", {
+    refused: 3,
+    expected: false,
+  }, (reach) => reach.addDoubt(1_200, false));
+  check("does not depend on further refused connections", {
+    refused: 3,
+    expected: true,
+  }, (reach) => reach.addDoubt(1_200, true));
+});
+
 describe("ServiceReach.isLinkLoss", () => {
   const check = (reach: ServiceReach, lostAtMs: number, expected: boolean) =>
     assert.equal(reach.isLinkLoss(lostAtMs), expected, `${lostAtMs} ms`);
