Ask other hosts whether they reach a lost service, and trust no outdated word of theirs

Cause: what hosts say of themselves travels through the store, half a second at best, and was taken for true whatever its age; until another host said otherwise, it was taken to reach the service. Class: absence of news taken for news.

Ruled out: waiting longer before jobs are given away (orders then miss the bound of lease_manager_test, 5 s after the cut).

Change: a host that has lost a service asks two others, which probe it unless an endpoint has just answered; jobs are given away, and requests excused, by what they answer. What hosts said more than 1.5 s before the last read is not used to leave them out: they are tried, and left out for a second each if they don't reach the service. A service that is reached again is confirmed after 0.1 s.

--- a/packages/edge/src/log/shared_records.ts
+++ b/packages/edge/src/log/shared_records.ts
@@ -63,6 +63,11 @@
     this.#follower.stop();
   }
 
+  /** Returns the time since the records were last read to their end, in milliseconds. */
+  getAgeMs(): number {
+    return this.#follower.getAgeMs();
+  }
+
   /**
    * Writes a record with the next append.
    *
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -93,30 +93,33 @@
   /** Opens all listeners and starts all components. */
   async start(): Promise<void> {
     const { callers, health, peers, metrics } = this.#settings;
-    await this.#callers.start([callers, health]);
     const { claims } = this.#training;
+    const { permitOwner, reachQuery } = this.#serving;
+    await this.#callers.start([callers, health]);
     await this.#store.listener.start(peers, {
-      onCall: (request, response) =>
-        void this.#ingress.handle(request, response),
-      onPermit: (request, response) =>
-        void this.#serving.permitOwner.handle(request, response),
-      onClaim: (request, response) =>
-        claims.handle(request, response, (lot) => this.isRunning(lot)),
+      onCall: (...exchange) => void this.#ingress.handle(...exchange),
+      onPermit: (...exchange) => void permitOwner.handle(...exchange),
+      onReach: (...exchange) => void reachQuery.handle(...exchange),
+      onClaim: (...exchange) =>
+        claims.handle(...exchange, (lot) => this.isRunning(lot)),
     });
     await this.#metrics.start(metrics);
-    this.#serving.followers.forEach((follower) => follower.start());
-    this.#serving.sharedReach.publishReach(this.#serving.reach.createRecord());
-    this.#store.peers.start();
-    this.#training.owner.start();
-    this.#training.cleaner.start();
-    this.#training.lease.start();
-    this.#training.orders.start();
+    this.#startComponents();
     this.#logger.info("host-started", {
       callers: callers.port,
       failureDomain: this.#settings.failureDomain,
     });
   }
 
+  #startComponents(): void {
+    const { followers, sharedReach, reach } = this.#serving;
+    const { owner, cleaner, lease, orders } = this.#training;
+    followers.forEach((follower) => follower.start());
+    sharedReach.publishReach(reach.createRecord());
+    this.#store.peers.start();
+    [owner, cleaner, lease, orders].forEach((component) => component.start());
+  }
+
   /**
    * Returns whether this host runs the samples of a lot.
    *
@@ -137,8 +140,7 @@
     this.#logger.info("host-stopping", { open: this.#ingress.openRequests });
     const { orders, owner, lease, cleaner } = this.#training;
     this.#serving.sharedReach.removeOwn();
-    orders.stop();
-    cleaner.stop();
+    [orders, cleaner].forEach((component) => component.stop());
     await Promise.all([owner.stop(), lease.stop()]);
     this.#serving.permitOwner.close();
     await this.#clock.sleep(
@@ -154,18 +156,25 @@
       cut: this.#ingress.openRequests,
       tookMs: Math.round(this.#clock.getMonotonicMs() - startMs),
     });
+    this.#closeComponents();
+    await this.#clock.sleep(DRAIN_POLL_INTERVAL_MS);
+  }
+
+  #closeComponents(): void {
     this.#store.listener.close();
     this.#lotCallForwarder.close();
     this.#store.peers.stop();
     this.#metrics.close();
     this.#training.claims.close();
     this.#training.partitions.stop();
-    this.#serving.followers.forEach((follower) => follower.stop());
-    this.#serving.reach.stop();
-    const { relay, permits, sender } = this.#serving;
-    [relay, permits, sender].forEach((component) => component.close());
+    const { relay, permits, sender, reachQuery } = this.#serving;
+    [...this.#serving.followers, this.#serving.reach].forEach((component) =>
+      component.stop()
+    );
+    [relay, permits, sender, reachQuery].forEach((component) =>
+      component.close()
+    );
     this.#store.transport.close();
-    await this.#clock.sleep(DRAIN_POLL_INTERVAL_MS);
   }
 
   #getOwnership(shard: number): ShardOwnership {
--- a/packages/edge/src/peers/peer_listener.ts
+++ b/packages/edge/src/peers/peer_listener.ts
@@ -17,6 +17,7 @@
 } from "node:http";
 import { PERMIT_HEADER } from "../limits/permit_owner.ts";
 import { CLAIM_HEADER } from "../lots/lot_claims.ts";
+import { REACH_HEADER } from "../reach/reach_query.ts";
 import { RELAY_HEADER, type RelayedTransport } from "./relayed_transport.ts";
 
 const BODY_TIMEOUT_MS = 2_000;
@@ -36,6 +37,8 @@
   readonly onClaim: PeerCallHandler;
   /** Handles calls about permits of endpoints that have limits. */
   readonly onPermit: PeerCallHandler;
+  /** Handles queries whether this host reaches a service. */
+  readonly onReach: PeerCallHandler;
   /** Handles calls that another host forwards for its client. */
   readonly onCall: PeerCallHandler;
 }
@@ -65,6 +68,8 @@
         handlers.onClaim(request, response);
       } else if (request.headers[PERMIT_HEADER.toLowerCase()] !== undefined) {
         handlers.onPermit(request, response);
+      } else if (request.headers[REACH_HEADER.toLowerCase()] !== undefined) {
+        handlers.onReach(request, response);
       } else {
         handlers.onCall(request, response);
       }
--- a/packages/edge/src/reach/create_reach_components.ts
+++ b/packages/edge/src/reach/create_reach_components.ts
@@ -7,12 +7,17 @@
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { HostContext } from "../node/host_context.ts";
 import { ReachMonitor } from "./reach_monitor.ts";
+import { ReachQuery } from "./reach_query.ts";
 import { SharedReach } from "./shared_reach.ts";
 
+/** The age up to which what other hosts say of themselves is trusted, in milliseconds: above the wait of one read. */
+const MAX_RECORD_AGE_MS = 1_500;
+
 /** The components that watch which services a host reaches. */
 export interface ReachComponents {
   readonly reach: ReachMonitor;
   readonly sharedReach: SharedReach;
+  readonly reachQuery: ReachQuery;
 }
 
 /**
@@ -47,16 +52,23 @@
     ...context,
     directory,
     local: { host: ip, failureDomain },
+    isCurrent: () => sharedReach.getAgeMs() <= MAX_RECORD_AGE_MS,
     getHealthPath: (service) =>
       getTable()?.getService(service)?.healthPath ?? "/",
+    fetchReach: (service, hosts) => reachQuery.fetchReach(service, hosts),
     onChange: (record) => sharedReach.publishReach(record),
   });
-  const sharedReach = new SharedReach({
+  const sharedReach: SharedReach = new SharedReach({
     ...context,
     log,
     host: ip,
     onReach: (record) => reach.applyReach(record),
     onRemoved: (host) => reach.paths.removeHost(host),
   });
-  return { reach, sharedReach };
+  const reachQuery = new ReachQuery({
+    ...context,
+    peerPort: context.settings.peers.port,
+    isReached: (service) => reach.isReached(service),
+  });
+  return { reach, sharedReach, reachQuery };
 }
--- a/packages/edge/src/reach/reach_monitor.ts
+++ b/packages/edge/src/reach/reach_monitor.ts
@@ -5,31 +5,32 @@
  * @module
  */
 import type { Logger } from "@briarhill/common/logging/logger";
-import type { Clock, Timer } from "@briarhill/common/time/clock";
-import { type CallPath, CallPaths } from "@briarhill/routing/reach/call_paths";
-import type { HostReach } from "@briarhill/routing/reach/host_reach";
+import type { Clock } from "@briarhill/common/time/clock";
 import {
-  type ProbeRound,
-  type ReachChange,
-  ServiceReach,
-} from "@briarhill/routing/reach/service_reach";
+  type CallPath,
+  CallPaths,
+  type CallPathsOptions,
+} from "@briarhill/routing/reach/call_paths";
+import type { HostReach } from "@briarhill/routing/reach/host_reach";
+import type { ServiceReach } from "@briarhill/routing/reach/service_reach";
 import type { HostMetrics } from "../observe/host_metrics.ts";
+import { ReachRounds } from "./reach_rounds.ts";
 import { ServiceProbe, type ServiceProbeOptions } from "./service_probe.ts";
 
-/** Interval at which due rounds are started while a service is lost, in milliseconds. */
-const CHECK_INTERVAL_MS = 50;
-/** Maximum random delay of the probes that a loss at another host causes, in milliseconds. */
-const MAX_CONFIRM_DELAY_MS = 100;
 /** Time for which a service has to be lost until this host gives its jobs away, in milliseconds: two probe rounds. */
 const JOB_RELEASE_MS = 350;
 
 /** Options of {@link ReachMonitor}. */
-export interface ReachMonitorOptions extends ServiceProbeOptions {
+export interface ReachMonitorOptions
+  extends ServiceProbeOptions, CallPathsOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: HostMetrics;
-  /** The IP address and the failure domain of this host. */
-  readonly local: Pick<HostReach, "host" | "failureDomain">;
+  /** Asks other hosts whether one of them reaches a service just now; undefined if none answers. */
+  readonly fetchReach: (
+    service: string,
+    hosts: readonly string[],
+  ) => Promise<boolean | undefined>;
   /** Called with what this host says of itself, when that has changed. */
   readonly onChange: (reach: HostReach) => void;
 }
@@ -40,22 +41,19 @@
   readonly paths: CallPaths;
   readonly probe: ServiceProbe;
   readonly #options: ReachMonitorOptions;
-  readonly #services = new Map<string, ServiceReach>();
-  readonly #rounds = new Map<string, Promise<void>>();
-  #checkTimer: Timer | undefined;
-  #isStopped = false;
+  readonly #rounds: ReachRounds;
 
   constructor(options: ReachMonitorOptions) {
     this.#options = options;
     this.probe = new ServiceProbe(options);
-    this.paths = new CallPaths(options.local, options.random);
-  }
-
-  /** The services of which this host reaches no endpoint. */
-  get lostServices(): readonly string[] {
-    return [...this.#services]
-      .filter(([, reach]) => reach.isLost)
-      .map(([service]) => service);
+    this.paths = new CallPaths(options);
+    this.#rounds = new ReachRounds({
+      ...options,
+      probe: this.probe,
+      fetchReach: (service) =>
+        options.fetchReach(service, this.listReaching(service)),
+      onChange: () => options.onChange(this.createRecord()),
+    });
   }
 
   /**
@@ -76,7 +74,7 @@
    */
   addDoubt(service: string, sentAtMs: number, isUnconnected = false): void {
     this.#getReach(service).addDoubt(sentAtMs, isUnconnected);
-    this.#startDueRound(service);
+    this.#rounds.startDue(service);
   }
 
   /**
@@ -88,10 +86,9 @@
    */
   async findPath(service: string, isRelayed: boolean): Promise<CallPath> {
     const reach = this.#getReach(service);
-    this.#startDueRound(service);
-    const round = this.#rounds.get(service);
-    if (round !== undefined && !reach.isLost) {
-      await round;
+    this.#rounds.startDue(service);
+    if (!reach.isLost) {
+      await this.#rounds.waitRound(service);
     }
     return this.paths.decidePath(service, {
       reach,
@@ -115,8 +112,8 @@
    * @param service - The service.
    */
   canSend(service: string): boolean {
-    const reach = this.#services.get(service);
-    return reach === undefined || !reach.isLost || reach.hasOpenConnections;
+    const reach = this.#getReach(service);
+    return !reach.isLost || reach.hasOpenConnections;
   }
 
   /**
@@ -126,18 +123,34 @@
    * @param lostAtMs - When it was lost, on the monotonic clock.
    */
   isLinkLoss(service: string, lostAtMs: number): boolean {
-    return this.#services.get(service)?.isLinkLoss(lostAtMs) === true;
+    return this.#getReach(service).isLinkLoss(lostAtMs);
   }
 
   /** Whether this host reaches all services, or no other host does better, so that it may hold jobs of the whole fleet. */
   canHoldJobs(): boolean {
     const nowMs = this.#options.clock.getMonotonicMs();
-    const isHarmed = [...this.#services.values()].some((reach) =>
-      reach.getLostMs(nowMs) >= JOB_RELEASE_MS
+    const isHarmed = this.#rounds.listReaches().some((reach) =>
+      reach.getLostMs(nowMs) >= JOB_RELEASE_MS &&
+      reach.isReachedElsewhere === true
     );
     return !isHarmed || !this.paths.hasUnharmedHost(nowMs);
   }
 
+  /**
+   * Returns whether this host reaches a service just now; probes it unless an endpoint
+   * has just answered.
+   *
+   * @param service - The service.
+   */
+  async isReached(service: string): Promise<boolean> {
+    const reach = this.#getReach(service);
+    if (!reach.hasJustAnswered(this.#options.clock.getMonotonicMs())) {
+      this.#rounds.start(service);
+      await this.#rounds.waitRound(service);
+    }
+    return !reach.isLost;
+  }
+
   /**
    * Applies what another host says of itself, and confirms what this host reaches of
    * the services that the other one has lost.
@@ -146,101 +159,23 @@
    */
   applyReach(remote: HostReach): void {
     this.paths.applyReach(remote);
-    remote.lostServices.forEach((service) => this.#checkReach(service));
+    remote.lostServices.forEach((service) =>
+      this.#rounds.startConfirmation(service)
+    );
   }
 
   /** Returns what this host says of itself. */
   createRecord(): HostReach {
-    return { ...this.#options.local, lostServices: this.lostServices };
+    const { local } = this.#options;
+    return { ...local, lostServices: this.#rounds.listLost() };
   }
 
   /** Stops probing. */
   stop(): void {
-    this.#isStopped = true;
-    this.#checkTimer?.cancel();
+    this.#rounds.stop();
   }
 
   #getReach(service: string): ServiceReach {
-    const reach = this.#services.get(service) ?? new ServiceReach();
-    this.#services.set(service, reach);
-    return reach;
-  }
-
-  #startDueRound(service: string): void {
-    const { clock } = this.#options;
-    if (this.#getReach(service).shouldProbe(clock.getMonotonicMs())) {
-      this.#startRound(service);
-    }
-  }
-
-  #startRound(service: string): void {
-    if (this.#isStopped || this.#rounds.has(service)) {
-      return;
-    }
-    const round = this.#runRound(service)
-      .finally(() => this.#rounds.delete(service));
-    this.#rounds.set(service, round);
-  }
-
-  async #runRound(service: string): Promise<void> {
-    const { clock } = this.#options;
-    const reach = this.#getReach(service);
-    const startedAtMs = clock.getMonotonicMs();
-    const probes = await this.probe.probeService(service);
-    const endedAtMs = clock.getMonotonicMs();
-    const isReachedElsewhere = this.paths
-      .listReaching(service, endedAtMs).length > 0;
-    const change = reach.applyRound({
-      ...probes,
-      startedAtMs,
-      endedAtMs,
-      isReachedElsewhere,
-    });
-    this.#applyChange(service, change, { ...probes, isReachedElsewhere });
-  }
-
-  #applyChange(
-    service: string,
-    change: ReachChange,
-    fields: Omit<ProbeRound, "startedAtMs" | "endedAtMs">,
-  ): void {
-    const { logger, metrics, onChange, directory } = this.#options;
-    if (change !== "none") {
-      const line = { service, ...fields };
-      change === "lost"
-        ? logger.warn("service-lost", line)
-        : logger.warn("service-regained", line);
-      metrics.addReachChange(change);
-      onChange(this.createRecord());
-    }
-    if (change === "regained") {
-      directory.clearFailures(service);
-    }
-    if (change === "lost") {
-      // The links that are lost may have led to other services too.
-      [...this.#services.keys()].forEach((other) => this.#checkReach(other));
-    }
-    this.#scheduleCheck();
-  }
-
-  #scheduleCheck(): void {
-    this.#checkTimer?.cancel();
-    if (this.#isStopped || this.lostServices.length === 0) {
-      return;
-    }
-    this.#checkTimer = this.#options.clock.setTimer(CHECK_INTERVAL_MS, () => {
-      this.lostServices.forEach((service) => this.#startDueRound(service));
-      this.#scheduleCheck();
-    });
-  }
-
-  #checkReach(service: string): void {
-    const { clock, random } = this.#options;
-    if (this.#getReach(service).shouldConfirm(clock.getMonotonicMs())) {
-      clock.setTimer(
-        MAX_CONFIRM_DELAY_MS * random.getFloat(),
-        () => this.#startRound(service),
-      );
-    }
+    return this.#rounds.getReach(service);
   }
 }
--- a/packages/edge/src/reach/shared_reach.ts
+++ b/packages/edge/src/reach/shared_reach.ts
@@ -63,6 +63,11 @@
     this.#records.stop();
   }
 
+  /** Returns the time since the records were last read to their end, in milliseconds. */
+  getAgeMs(): number {
+    return this.#records.getAgeMs();
+  }
+
   /**
    * Writes what this host says of itself.
    *
--- a/packages/edge/test/calls/sender_fixture.ts
+++ b/packages/edge/test/calls/sender_fixture.ts
@@ -41,6 +41,8 @@
     metrics: new HostMetrics(),
     random: new SeededRandom(1),
     directory,
+    isCurrent: () => true,
+    fetchReach: () => Promise.resolve(true),
     local: { host: "127.0.0.2", failureDomain: "a" },
     getHealthPath: () => "/",
     onChange: () => undefined,
--- a/packages/routing/src/reach/call_paths.ts
+++ b/packages/routing/src/reach/call_paths.ts
@@ -38,27 +38,33 @@
   readonly untilMs: number;
 }
 
+/** Options of {@link CallPaths}. */
+export interface CallPathsOptions {
+  /** The IP address and the failure domain of this host. */
+  readonly local: Pick<HostReach, "host" | "failureDomain">;
+  /** Spreads calls over hosts. */
+  readonly random: SeededRandom;
+  /** Returns whether what the other hosts say of themselves was read just now; what is older may be wrong. */
+  readonly isCurrent: () => boolean;
+}
+
 /** Knows which hosts reach which services, and decides the ways of calls. */
 export class CallPaths {
   readonly #host: string;
   readonly #failureDomain: FailureDomain;
   readonly #random: SeededRandom;
+  readonly #isCurrent: () => boolean;
   readonly #hosts = new Map<string, HostReach>();
   readonly #suspicions = new Map<string, Suspicion>();
   /** Until when a host is left out for a service, by host and service. */
   readonly #unreachedUntilMs = new Map<string, number>();
 
-  /**
-   * @param local - The IP address and the failure domain of this host.
-   * @param random - Spreads calls over hosts.
-   */
-  constructor(
-    local: Pick<HostReach, "host" | "failureDomain">,
-    random: SeededRandom,
-  ) {
+  constructor(options: CallPathsOptions) {
+    const { local, random, isCurrent } = options;
     this.#host = local.host;
     this.#failureDomain = local.failureDomain;
     this.#random = random;
+    this.#isCurrent = isCurrent;
   }
 
   /**
@@ -121,9 +127,10 @@
    * @param nowMs - The current time.
    */
   listReaching(service: string, nowMs: number): readonly string[] {
+    const isCurrent = this.#isCurrent();
     const reaching = [...this.#hosts.values()].filter((reach) =>
       reach.host !== this.#host &&
-      !reach.lostServices.includes(service) &&
+      !(isCurrent && reach.lostServices.includes(service)) &&
       nowMs >= (this.#suspicions.get(reach.host)?.untilMs ?? 0) &&
       nowMs >= (this.#unreachedUntilMs.get(`${reach.host} ${service}`) ?? 0)
     );
--- a/packages/routing/src/reach/service_reach.ts
+++ b/packages/routing/src/reach/service_reach.ts
@@ -4,22 +4,24 @@
  * go on while new ones fail, and a single lost request says nothing.
  * @module
  */
+import { LossHistory, type ServiceLoss } from "./loss_history.ts";
 
 /** Number of probe rounds in a row that have to reach an endpoint before the service counts as reached again. */
 const ROUNDS_TO_REGAIN = 2;
 /** Interval between two probe rounds while the service is lost, in milliseconds. */
 const LOST_INTERVAL_MS = 300;
 /** The same interval while no other host reaches the service either. */
-const DOWN_INTERVAL_MS = 600;
+const DOWN_INTERVAL_MS = 450;
+/** The same interval once a round has reached an endpoint. */
+const REGAIN_INTERVAL_MS = 100;
 /** Minimum interval between two rounds while the service is reached, in milliseconds; it bounds the connections that doubts open. */
 const OPEN_INTERVAL_MS = 250;
-/** Time before the first failed round in which requests may have been lost already, in milliseconds: the longest wait for an event of a stream. */
-const UNNOTICED_MS = 2_500;
 /** Minimum time between two rounds that losses elsewhere cause, in milliseconds. */
 const CONFIRM_INTERVAL_MS = 2_000;
-/** Time after which all hosts that have lost a service too have said so, in milliseconds: a probe round and the way through the store. */
-const SHARED_MS = 800;
-const MAX_LOSSES = 16;
+/** Time for which an answer shows that the service is reached, in milliseconds. */
+const JUST_ANSWERED_MS = 300;
+/** Minimum time between two queries to other hosts once they have answered, in milliseconds. */
+const ASK_INTERVAL_MS = 1_000;
 
 /** Result of one probe round. */
 export interface ProbeRound {
@@ -31,25 +33,11 @@
   readonly reached: number;
   /** Number of endpoints that refused the connection at once. */
   readonly refused: number;
-  /** Whether other hosts reach the service as far as is known. */
-  readonly isReachedElsewhere: boolean;
 }
 
 /** Effect of a probe round. */
 export type ReachChange = "lost" | "regained" | "none";
 
-/** A time in which the service was lost to this host. */
-interface Loss {
-  readonly sinceMs: number;
-  readonly untilMs: number;
-  /** Whether all probes of the first round were refused. */
-  readonly isRefused: boolean;
-  /** In the last round. */
-  readonly isReachedElsewhere: boolean;
-  /** In the first round after all other hosts had time to find the same; undefined before it. */
-  readonly isLinkLoss: boolean | undefined;
-}
-
 /** Whether this host reaches one service. All times are read from one monotonic clock. */
 export class ServiceReach {
   #lastAnswerAtMs = -Infinity;
@@ -57,18 +45,48 @@
   #isConnectDoubted = false;
   #lastRoundAtMs = -Infinity;
   #confirmedAtMs = -Infinity;
+  #askedAtMs = -Infinity;
   #reachedRounds = 0;
-  #loss: Loss | undefined;
-  #losses: readonly Loss[] = [];
+  #loss: ServiceLoss | undefined;
+  readonly #losses = new LossHistory();
 
   /** Whether no endpoint of the service accepts connections of this host. */
   get isLost(): boolean {
     return this.#loss !== undefined;
   }
 
-  /** Whether other hosts reached the service in the last probe round while it is lost to this one. */
-  get isReachedElsewhere(): boolean {
-    return this.#loss?.isReachedElsewhere ?? true;
+  /** Whether another host has confirmed that it reaches the service while this one does not; undefined if none was asked. */
+  get isReachedElsewhere(): boolean | undefined {
+    return this.#loss?.isReachedElsewhere;
+  }
+
+  /**
+   * Returns whether other hosts are to be asked whether they reach the service, and
+   * counts it as done.
+   *
+   * @param nowMs - The current time.
+   */
+  shouldAskHosts(nowMs: number): boolean {
+    const isDue = this.isLost &&
+      (this.isReachedElsewhere === undefined ||
+        nowMs - this.#askedAtMs >= ASK_INTERVAL_MS);
+    this.#askedAtMs = isDue ? nowMs : this.#askedAtMs;
+    return isDue;
+  }
+
+  /**
+   * Records whether another host reaches the service just now.
+   *
+   * @param isReached - Whether one does.
+   */
+  setReachedElsewhere(isReached: boolean): void {
+    if (this.#loss !== undefined) {
+      this.#loss = {
+        ...this.#loss,
+        isReachedElsewhere: isReached,
+        isLinkLoss: this.#loss.isLinkLoss ?? isReached,
+      };
+    }
   }
 
   /**
@@ -108,6 +126,15 @@
     }
   }
 
+  /**
+   * Returns whether an endpoint has answered so recently that no probe is needed.
+   *
+   * @param nowMs - The current time.
+   */
+  hasJustAnswered(nowMs: number): boolean {
+    return !this.isLost && nowMs - this.#lastAnswerAtMs < JUST_ANSWERED_MS;
+  }
+
   /**
    * Returns whether a probe round is due.
    *
@@ -163,17 +190,13 @@
     if (probed === 0) {
       return "none";
     }
-    const { isReachedElsewhere } = round;
     const isNew = this.#loss === undefined;
-    this.#loss = {
-      sinceMs: this.#loss?.sinceMs ?? startedAtMs,
+    this.#loss ??= {
+      sinceMs: startedAtMs,
       untilMs: Infinity,
-      isRefused: this.#loss?.isRefused ?? refused === probed,
-      isReachedElsewhere,
-      isLinkLoss: this.#loss?.isLinkLoss ??
-        (this.getLostMs(endedAtMs) < SHARED_MS
-          ? undefined
-          : isReachedElsewhere),
+      isRefused: refused === probed,
+      isReachedElsewhere: undefined,
+      isLinkLoss: undefined,
     };
     return isNew ? "lost" : "none";
   }
@@ -194,17 +217,16 @@
    * @param lostAtMs - When the request was lost.
    */
   isLinkLoss(lostAtMs: number): boolean {
-    const losses = this.#loss === undefined
-      ? this.#losses
-      : [...this.#losses, this.#loss];
-    return losses.some(({ sinceMs, untilMs, isLinkLoss }) =>
-      isLinkLoss !== false && lostAtMs >= sinceMs - UNNOTICED_MS &&
-      lostAtMs <= untilMs
-    );
+    return this.#losses.isLinkLoss(lostAtMs, this.#loss);
   }
 
   get #intervalMs(): number {
-    return this.isReachedElsewhere ? LOST_INTERVAL_MS : DOWN_INTERVAL_MS;
+    if (this.#reachedRounds > 0) {
+      return REGAIN_INTERVAL_MS;
+    }
+    return this.isReachedElsewhere === false
+      ? DOWN_INTERVAL_MS
+      : LOST_INTERVAL_MS;
   }
 
   #applyReached(nowMs: number): ReachChange {
@@ -214,8 +236,7 @@
     ) {
       return "none";
     }
-    this.#losses = [...this.#losses, { ...this.#loss, untilMs: nowMs }]
-      .slice(-MAX_LOSSES);
+    this.#losses.addLoss({ ...this.#loss, untilMs: nowMs });
     this.#loss = undefined;
     return "regained";
   }
--- a/packages/routing/test/reach/call_paths_test.ts
+++ b/packages/routing/test/reach/call_paths_test.ts
@@ -15,18 +15,22 @@
       probed: 3,
       reached: 0,
       refused: 0,
-      isReachedElsewhere: true,
     });
   }
   return reach;
 }
 
 /** Returns what host "h0" of domain "d0" knows of others, three a domain, of which some have lost the service. */
-function createPaths(hosts: number, lost: number): CallPaths {
-  const paths = new CallPaths(
-    { host: "h0", failureDomain: "d0" },
-    new SeededRandom(1),
-  );
+function createPaths(
+  hosts: number,
+  lost: number,
+  isCurrent = true,
+): CallPaths {
+  const paths = new CallPaths({
+    local: { host: "h0", failureDomain: "d0" },
+    random: new SeededRandom(1),
+    isCurrent: () => isCurrent,
+  });
   for (let number = 0; number < hosts; number++) {
     paths.applyReach({
       host: `h${number}`,
@@ -69,6 +73,13 @@
     assert.ok(path.retryAfterMs > 0 && path.retryAfterMs <= 300);
   });
 
+  it("tries other hosts, whatever they said of themselves, while that is outdated", () => {
+    const paths = createPaths(4, 4, false);
+    assert.equal(paths.listReaching("s", NOW_MS).length, 3);
+    paths.addUnreached("h1", "s", NOW_MS);
+    assert.equal(paths.listReaching("s", NOW_MS).length, 2);
+  });
+
   it("spreads the calls of one host over all hosts of its domain that reach the service", () => {
     const paths = createPaths(195, 146);
     const counts = new Map<string, number>();
--- a/packages/routing/test/reach/service_reach_test.ts
+++ b/packages/routing/test/reach/service_reach_test.ts
@@ -15,7 +15,6 @@
     probed: 3,
     reached: 0,
     refused: 0,
-    isReachedElsewhere: true,
     ...fields,
   };
 }
@@ -132,12 +131,12 @@
     check(reach, 2_500, false);
   });
 
-  it("is false if no other host reached the service either, once all had time to say so", () => {
+  it("is false if no other host reached the service either, whoever regains it first", () => {
     const reach = createLost();
     check(reach, 1_100, true);
-    reach.applyRound(createRound(2_000, { isReachedElsewhere: false }));
+    reach.setReachedElsewhere(false);
     check(reach, 1_100, false);
-    reach.applyRound(createRound(2_300));
+    reach.setReachedElsewhere(true);
     check(reach, 1_100, false);
   });
 });
