Let the soak cut hosts from all endpoints, and clients keep their connections

Cause: the soak had no way to cut one host from the endpoints: proxies stood before endpoints, for all hosts together.

Change: each host reads the list of endpoints with the addresses of proxies of its own, which fall silent, reset or refuse. Half of its calls go over connections that are used until the process is gone.

--- a/packages/bench/src/soak/endpoint_faults.ts
+++ b/packages/bench/src/soak/endpoint_faults.ts
@@ -10,6 +10,11 @@
 import { ATTEMPT_ID, DEADLINE_MS } from "@briarhill/platform/names/headers";
 import { setTimeout as sleep } from "node:timers/promises";
 
+/** The limits that endpoints state, in requests a second. */
+const LIMITS = ["1", "3.5", "0", "12", "0.4", "-2", "soon"];
+/** How long an endpoint states one limit at least, in milliseconds; above the time in which hosts may still exceed it. */
+const LIMITED_MS = 4_000;
+
 /** The body of requests that crash endpoints begins with this text. */
 const CRASH_TEXT = "poison";
 /** How long such a request comes again at least, in milliseconds; above the time in which hosts have to know it. */
@@ -84,3 +89,28 @@
   await restarted;
   platform.publishEntry(engine);
 }
+
+/**
+ * Lets an endpoint state a limit, which changes once and may be no rate.
+ *
+ * @example
+ * ```ts
+ * declare const platform: PlatformStandIn;
+ *
+ * await runLimit(platform, { forMs: 500, target: 1 });
+ * ```
+ * @param platform - The platform.
+ * @param fault - The duration, and a number that selects the endpoint and the limits.
+ */
+export async function runLimit(
+  platform: PlatformStandIn,
+  { forMs, target }: { readonly forMs: number; readonly target: number },
+): Promise<void> {
+  const { endpoints } = platform;
+  const { limit } = endpoints[target % endpoints.length] ?? {};
+  limit?.setLimit(LIMITS[target % LIMITS.length] ?? "1");
+  await sleep(LIMITED_MS + forMs);
+  limit?.setLimit(LIMITS[(target + forMs) % LIMITS.length] ?? "1");
+  await sleep(LIMITED_MS + forMs);
+  limit?.clearLimit();
+}
--- a/packages/bench/src/soak/soak_checks.ts
+++ b/packages/bench/src/soak/soak_checks.ts
@@ -11,6 +11,8 @@
 import type { LimitOverrun } from "@briarhill/fakes/platform/limit_monitor";
 import type { LotResult } from "@briarhill/fakes/platform/trainer_calls";
 
+import { listUnserved } from "./host_cuts.ts";
+
 /** A promise that was broken, with the ids that show it. */
 export interface SoakBreach {
   readonly promise: string;
@@ -150,6 +152,17 @@
     }
   }
 
+  /**
+   * Checks what the callers of cut hosts got beside those of the others.
+   *
+   * @param seen - The cuts and the first tries.
+   */
+  checkCuts(seen: Parameters<typeof listUnserved>[0]): void {
+    for (const detail of listUnserved(seen)) {
+      this.#add("callers of hosts without links are served as others", detail);
+    }
+  }
+
   /**
    * Checks that everything that was acknowledged is there in the end.
    *
--- a/packages/bench/src/soak/soak_faults.ts
+++ b/packages/bench/src/soak/soak_faults.ts
@@ -5,7 +5,12 @@
 import type { HostProcess } from "@briarhill/fakes/platform/host_process";
 import type { PlatformStandIn } from "@briarhill/fakes/platform/platform_stand_in";
 import { setTimeout as sleep } from "node:timers/promises";
-import { releaseSoftware, sendCrashingRequest } from "./endpoint_faults.ts";
+import {
+  releaseSoftware,
+  runLimit,
+  sendCrashingRequest,
+} from "./endpoint_faults.ts";
+import { type CutKind, type HostCuts, isCutKind } from "./host_cuts.ts";
 import type { SoakFault } from "./soak_plan.ts";
 
 /** How many events a broken engine sends before it breaks off. */
@@ -20,22 +25,30 @@
   "store-busy": "busy",
   "store-silent": "silent",
   "store-lost": "lost",
+  "store-refuses-host": "busy",
 } as const;
-/** The limits that endpoints state, in requests a second. */
-const LIMITS = ["1", "3.5", "0", "12", "0.4", "-2", "soon"];
-/** How long an endpoint states one limit at least, in milliseconds; above the time in which hosts may still exceed it. */
-const LIMITED_MS = 4_000;
+
+/** A fault that cuts no host from all endpoints. */
+type OtherFault = SoakFault & {
+  readonly kind: Exclude<SoakFault["kind"], CutKind>;
+};
 
 /** Brings faults about, and undoes them after their time. */
 export class SoakFaults {
   readonly #platform: PlatformStandIn;
   readonly #hosts: readonly HostProcess[];
+  readonly #cuts: HostCuts;
   /** Hosts that are struck already; a second fault passes them over. */
   readonly #struck = new Set<number>();
 
-  constructor(platform: PlatformStandIn, hosts: readonly HostProcess[]) {
+  constructor(
+    platform: PlatformStandIn,
+    hosts: readonly HostProcess[],
+    cuts: HostCuts,
+  ) {
     this.#platform = platform;
     this.#hosts = hosts;
+    this.#cuts = cuts;
   }
 
   /**
@@ -43,8 +56,20 @@
    *
    * @param fault - The fault.
    */
-  async runFault({ kind, forMs, target: drawn }: SoakFault): Promise<void> {
-    const target = drawn % this.#hosts.length;
+  async runFault(fault: SoakFault): Promise<void> {
+    const { kind } = fault;
+    if (isCutKind(kind)) {
+      const hosts = this.#hosts.length;
+      return await this.#cuts.cancelLinks(kind, { ...fault, hosts });
+    }
+    return await this.#runOther({ ...fault, kind });
+  }
+
+  async #runOther(
+    { kind, forMs, target: drawn }: OtherFault,
+  ): Promise<void> {
+    const fault = { hosts: this.#hosts.length, forMs, target: drawn };
+    const target = drawn % fault.hosts;
     switch (kind) {
       case "kill":
       case "stop":
@@ -56,18 +81,17 @@
       case "store-busy":
       case "store-silent":
       case "store-lost":
-        return await this.#setMood(STORE_MOODS[kind], forMs);
       case "store-refuses-host":
-        return await this.#setMood("busy", forMs, this.#platform.getIp(target));
+        return await this.#runStoreFault(kind, forMs, target);
       case "engine-breaks":
       case "service-slow":
         return await this.#runEndpointFault(kind, forMs, drawn);
       case "endpoint-leaves":
         return await this.#runLeaving(forMs, drawn);
       case "endpoint-limited":
-        return await this.#runLimit(forMs, drawn);
+        return await runLimit(this.#platform, fault);
       case "request-crashes":
-        return await this.#sendCrashing(forMs, drawn);
+        return await sendCrashingRequest(this.#platform, fault);
       case "software-released":
         return await releaseSoftware(this.#platform, drawn);
       case "links-reset":
@@ -119,22 +143,6 @@
     endpoint?.startIncarnation();
   }
 
-  /** The limit changes once while it is stated, and may be no rate. */
-  async #runLimit(forMs: number, target: number): Promise<void> {
-    const { endpoints } = this.#platform;
-    const { limit } = endpoints[target % endpoints.length] ?? {};
-    limit?.setLimit(LIMITS[target % LIMITS.length] ?? "1");
-    await sleep(LIMITED_MS + forMs);
-    limit?.setLimit(LIMITS[(target + forMs) % LIMITS.length] ?? "1");
-    await sleep(LIMITED_MS + forMs);
-    limit?.clearLimit();
-  }
-
-  #sendCrashing(forMs: number, target: number): Promise<void> {
-    const hosts = this.#hosts.length;
-    return sendCrashingRequest(this.#platform, { hosts, forMs, target });
-  }
-
   /** A host that was frozen or restarted need not know who is leaving. */
   #clearTold(): void {
     this.#platform.endpoints.forEach(({ leaving }) =>
@@ -185,26 +193,32 @@
     }
   }
 
-  async #setMood(
-    mood: "busy" | "silent" | "lost",
+  async #runStoreFault(
+    kind: keyof typeof STORE_MOODS,
     forMs: number,
-    ip?: string,
+    target: number,
   ): Promise<void> {
-    this.#platform.store.setBehavior(mood, ip);
+    const { store } = this.#platform;
+    const ip = kind === "store-refuses-host"
+      ? this.#platform.getIp(target)
+      : undefined;
+    store.setBehavior(STORE_MOODS[kind], ip);
     await sleep(forMs);
-    this.#platform.store.setBehavior("well", ip);
+    store.setBehavior("well", ip);
   }
 
   async #suspendHost(target: number, forMs: number): Promise<void> {
     if (this.#struck.has(target)) {
       return;
     }
+    const fromMs = Date.now();
     this.#struck.add(target);
     this.#hosts[target]?.sendSignal("SIGSTOP");
     await sleep(forMs);
     this.#clearTold();
     this.#hosts[target]?.sendSignal("SIGCONT");
     this.#struck.delete(target);
+    this.#cuts.harms.push({ host: target, fromMs, untilMs: Date.now() });
   }
 
   async #killHosts(
@@ -213,6 +227,7 @@
     forMs: number,
   ): Promise<void> {
     const free = targets.filter((target) => !this.#struck.has(target));
+    const fromMs = Date.now();
     await Promise.all(free.map(async (target) => {
       this.#struck.add(target);
       const host = this.#hosts[target];
@@ -222,6 +237,7 @@
       this.#clearTold();
       await host?.start();
       this.#struck.delete(target);
+      this.#cuts.harms.push({ host: target, fromMs, untilMs: Date.now() });
     }));
   }
 }
--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -29,7 +29,10 @@
   | "endpoint-leaves"
   | "endpoint-limited"
   | "request-crashes"
-  | "software-released";
+  | "software-released"
+  | "hosts-cut-silent"
+  | "hosts-cut-reset"
+  | "hosts-cut-refused";
 
 const KINDS: readonly SoakFaultKind[] = [
   "kill",
@@ -78,11 +81,19 @@
   "software-released",
 ];
 
+/** Faults that were added after those. */
+const CUT_KINDS: readonly SoakFaultKind[] = [
+  "hosts-cut-silent",
+  "hosts-cut-reset",
+  "hosts-cut-refused",
+];
+
 /** The mean pause between two faults, in milliseconds; most last longer, so that they overlap. */
 const MEAN_PAUSE_MS = 700;
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
 const LATER_MEAN_PAUSE_MS = 2_000;
+const CUT_MEAN_PAUSE_MS = 3_000;
 /** Above the number of anything that a fault can strike. */
 const MAX_TARGETS = 1_000;
 
@@ -99,6 +110,7 @@
   // Neighbouring seeds would begin with the same draws.
   const random = new SeededRandom(hashText(`soak ${options.seed}`));
   const later = new SeededRandom(hashText(`soak later ${options.seed}`));
+  const cuts = new SeededRandom(hashText(`soak cuts ${options.seed}`));
   return [
     ...drawFaults(random, {
       ...options,
@@ -110,6 +122,11 @@
       kinds: LATER_KINDS,
       meanPauseMs: LATER_MEAN_PAUSE_MS,
     }),
+    ...drawFaults(cuts, {
+      ...options,
+      kinds: CUT_KINDS,
+      meanPauseMs: CUT_MEAN_PAUSE_MS,
+    }),
   ].toSorted((first, second) => first.atMs - second.atMs);
 }
 
--- a/packages/bench/src/soak/soak_run.ts
+++ b/packages/bench/src/soak/soak_run.ts
@@ -10,10 +10,12 @@
   SIGNATURE,
 } from "@briarhill/platform/names/headers";
 import { READY_PATH } from "@briarhill/platform/names/paths";
+import { Agent } from "node:http";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { HostCuts } from "./host_cuts.ts";
 import { type SoakBreach, SoakChecks } from "./soak_checks.ts";
 import { SoakFaults } from "./soak_faults.ts";
 import { SoakStreams } from "./soak_streams.ts";
@@ -56,7 +58,10 @@
   readonly #options: SoakOptions;
   readonly #platform: PlatformStandIn;
   readonly #checks: SoakChecks;
+  readonly #cuts: HostCuts;
   readonly #lots = new Map<string, number>();
+  /** The connections of the clients that keep theirs until the host's process is gone. */
+  readonly #kept = new Agent({ keepAlive: true });
   #calls = 0;
   #served = 0;
   #isRunning = true;
@@ -69,6 +74,7 @@
       SERVICES,
     );
     this.#checks = new SoakChecks(this.#platform.completeTexts);
+    this.#cuts = new HostCuts(this.#platform);
   }
 
   /** Runs the soak. */
@@ -87,9 +93,10 @@
     await this.#platform.start();
     await Promise.all(hosts.map((host) => host.start()));
     try {
-      await this.#runLoad(new SoakFaults(this.#platform, hosts));
+      await this.#runLoad(new SoakFaults(this.#platform, hosts, this.#cuts));
     } finally {
       hosts.forEach((host) => host.sendSignal("SIGKILL"));
+      this.#kept.destroy();
       this.#platform.stop();
       await rm(folder, { recursive: true });
     }
@@ -128,19 +135,23 @@
     await Promise.all(load);
     await this.#waitWhole();
     this.#checks.checkEndpoints(this.#platform.endpoints);
+    this.#checks.checkCuts(this.#cuts);
   }
 
   async #sendCalls(): Promise<void> {
     const open: Promise<void>[] = [];
     for (let number = 0; this.#isRunning; number++) {
-      open.push(this.#sendCall(`call-${number}`, number % this.#options.hosts));
+      const host = number % this.#options.hosts;
+      const isKept = Math.floor(number / this.#options.hosts) % 2 === 0;
+      open.push(this.#sendCall(`call-${number}`, host, isKept));
       await sleep(CALL_EVERY_MS);
     }
     await Promise.all(open);
   }
 
-  async #sendCall(id: string, host: number): Promise<void> {
+  async #sendCall(id: string, host: number, isKept: boolean): Promise<void> {
     this.#calls++;
+    const atMs = Date.now();
     const headers = {
       [ATTEMPT_ID]: id,
       [DEADLINE_MS]: String(CALL_DEADLINE_MS),
@@ -150,8 +161,11 @@
         headers,
         body: id,
         timeoutMs: 2 * CALL_DEADLINE_MS,
+        ...(isKept ? { agent: this.#kept } : {}),
       });
-      this.#served += answer.status === 200 ? 1 : 0;
+      const isServed = answer.status === 200;
+      this.#served += isServed ? 1 : 0;
+      this.#cuts.tries.push({ host, atMs, isServed });
       this.#checks.checkCall({
         id,
         status: answer.status,
@@ -159,6 +173,7 @@
         signature: String(answer.headers[SIGNATURE.toLowerCase()]),
       });
     } catch {
+      this.#cuts.tries.push({ host, atMs, isServed: false });
       // A broken connection promises nothing.
       this.#checks.checkCall({ id, status: 0, body: "", signature: "" });
     }
--- a/packages/fakes/src/platform/host_call.ts
+++ b/packages/fakes/src/platform/host_call.ts
@@ -1,11 +1,12 @@
 /**
  * One HTTP call of a client to a host. Each call opens a connection of its own, so
- * that a fault of one connection affects one call only.
+ * that a fault of one connection affects one call only, unless the client keeps its
+ * connections open.
  * @module
  */
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import { Buffer } from "node:buffer";
-import { type IncomingHttpHeaders, request } from "node:http";
+import { type Agent, type IncomingHttpHeaders, request } from "node:http";
 
 /** The response of a host. */
 export interface HostResponse {
@@ -20,6 +21,8 @@
   readonly body?: string;
   /** The timeout of the call in milliseconds; the call is aborted after it. */
   readonly timeoutMs?: number;
+  /** Keeps the connections of a client that uses them again. */
+  readonly agent?: Agent;
 }
 
 /**
@@ -41,6 +44,7 @@
   call: HostCallOptions & { readonly method: string; readonly path: string },
 ): Promise<HostResponse> {
   const { method, path, headers = {}, body, timeoutMs = 30_000 } = call;
+  const { agent = false } = call;
   return new Promise((resolve, reject) => {
     const outgoing = request({
       host: address.hostname,
@@ -48,7 +52,7 @@
       method,
       path,
       headers,
-      agent: false,
+      agent,
       signal: AbortSignal.timeout(timeoutMs),
     }, (response) => {
       const chunks: Buffer[] = [];
