Ask hosts that said they had lost a service whether they reach it again

Cause: that host's word was held up on its way to the store, so that the list said the service was lost everywhere, and hosts that are said to have lost a service were not asked.

A host that has just probed answers from that.

--- a/packages/edge/src/reach/reach_monitor.ts
+++ b/packages/edge/src/reach/reach_monitor.ts
@@ -26,11 +26,11 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: HostMetrics;
-  /** Asks other hosts whether one of them reaches a service just now; undefined if none answers. */
+  /** Asks other hosts whether they reach a service just now, and returns those that do; undefined if none answers. */
   readonly fetchReach: (
     service: string,
     hosts: readonly string[],
-  ) => Promise<boolean | undefined>;
+  ) => Promise<readonly string[] | undefined>;
   /** Called with what this host says of itself, when that has changed. */
   readonly onChange: (reach: HostReach) => void;
 }
@@ -50,8 +50,7 @@
     this.#rounds = new ReachRounds({
       ...options,
       probe: this.probe,
-      fetchReach: (service) =>
-        options.fetchReach(service, this.listReaching(service)),
+      fetchReach: (service) => this.#fetchReach(service),
       onChange: () => options.onChange(this.createRecord()),
     });
   }
@@ -144,7 +143,7 @@
    */
   async isReached(service: string): Promise<boolean> {
     const reach = this.#getReach(service);
-    if (!reach.hasJustAnswered(this.#options.clock.getMonotonicMs())) {
+    if (reach.shouldVerify(this.#options.clock.getMonotonicMs())) {
       this.#rounds.start(service);
       await this.#rounds.waitRound(service);
     }
@@ -175,6 +174,14 @@
     this.#rounds.stop();
   }
 
+  async #fetchReach(service: string): Promise<boolean | undefined> {
+    const { clock, fetchReach } = this.#options;
+    const hosts = this.paths.listAsked(service, clock.getMonotonicMs());
+    const reaching = await fetchReach(service, hosts);
+    reaching?.forEach((host) => this.paths.setReaching(host, service));
+    return reaching === undefined ? undefined : reaching.length > 0;
+  }
+
   #getReach(service: string): ServiceReach {
     return this.#rounds.getReach(service);
   }
--- a/packages/edge/src/reach/reach_query.ts
+++ b/packages/edge/src/reach/reach_query.ts
@@ -43,8 +43,8 @@
   }
 
   /**
-   * Returns whether one of these hosts reaches a service; undefined if there are hosts
-   * and none of them answers.
+   * Returns those of some hosts that reach a service; undefined if there are hosts and
+   * none of them answers.
    *
    * @param service - The service.
    * @param hosts - The IP addresses of the hosts.
@@ -52,13 +52,13 @@
   async fetchReach(
     service: string,
     hosts: readonly string[],
-  ): Promise<boolean | undefined> {
+  ): Promise<readonly string[] | undefined> {
     const replies = await Promise.all(
       hosts.map((host) => this.#fetchFrom(service, host)),
     );
     const isAnswered = replies.some((reply) => reply !== undefined);
     return isAnswered || hosts.length === 0
-      ? replies.includes(true)
+      ? hosts.filter((_, index) => replies[index] === true)
       : undefined;
   }
 
--- a/packages/edge/test/calls/sender_fixture.ts
+++ b/packages/edge/test/calls/sender_fixture.ts
@@ -42,7 +42,7 @@
     random: new SeededRandom(1),
     directory,
     isCurrent: () => true,
-    fetchReach: () => Promise.resolve(true),
+    fetchReach: (_, hosts) => Promise.resolve(hosts),
     local: { host: "127.0.0.2", failureDomain: "a" },
     getHealthPath: () => "/",
     onChange: () => undefined,
--- a/packages/routing/src/reach/call_paths.ts
+++ b/packages/routing/src/reach/call_paths.ts
@@ -131,7 +131,7 @@
     const reaching = [...this.#hosts.values()].filter((reach) =>
       reach.host !== this.#host &&
       !(isCurrent && reach.lostServices.includes(service)) &&
-      nowMs >= (this.#suspicions.get(reach.host)?.untilMs ?? 0) &&
+      !this.#isSuspect(reach.host, nowMs) &&
       nowMs >= (this.#unreachedUntilMs.get(`${reach.host} ${service}`) ?? 0)
     );
     return reaching
@@ -155,6 +155,43 @@
     return this.listReaching(service, nowMs).slice(0, MAX_RELAYS);
   }
 
+  /**
+   * Lists the hosts to ask whether they reach a service: those that are taken to do so,
+   * or any others if there are none, as what they have said may be outdated.
+   *
+   * @param service - The service.
+   * @param nowMs - The current time.
+   */
+  listAsked(service: string, nowMs: number): readonly string[] {
+    const relays = this.listRelays(service, nowMs);
+    const others = [...this.#hosts.keys()].filter((host) =>
+      host !== this.#host && !this.#isSuspect(host, nowMs)
+    );
+    return relays.length > 0 ? relays : others
+      .map((host) => ({ host, rank: this.#random.getFloat() }))
+      .toSorted((first, second) => first.rank - second.rank)
+      .map(({ host }) => host)
+      .slice(0, MAX_RELAYS);
+  }
+
+  /**
+   * Records that a host has just answered that it reaches a service, which is newer than
+   * what it has said through the store.
+   *
+   * @param host - Its IP address.
+   * @param service - The service.
+   */
+  setReaching(host: string, service: string): void {
+    const reach = this.#hosts.get(host);
+    if (reach !== undefined) {
+      const lostServices = reach.lostServices.filter((lost) =>
+        lost !== service
+      );
+      this.#hosts.set(host, { ...reach, lostServices });
+    }
+    this.#unreachedUntilMs.delete(`${host} ${service}`);
+  }
+
   /**
    * Returns whether another host that has lost nothing is known.
    *
@@ -163,10 +200,14 @@
   hasUnharmedHost(nowMs: number): boolean {
     return [...this.#hosts.values()].some(({ host, lostServices }) =>
       host !== this.#host && lostServices.length === 0 &&
-      nowMs >= (this.#suspicions.get(host)?.untilMs ?? 0)
+      !this.#isSuspect(host, nowMs)
     );
   }
 
+  #isSuspect(host: string, nowMs: number): boolean {
+    return nowMs < (this.#suspicions.get(host)?.untilMs ?? 0);
+  }
+
   /**
    * Decides the way of a call.
    *
--- a/packages/routing/src/reach/service_reach.ts
+++ b/packages/routing/src/reach/service_reach.ts
@@ -18,8 +18,8 @@
 const OPEN_INTERVAL_MS = 250;
 /** Minimum time between two rounds that losses elsewhere cause, in milliseconds. */
 const CONFIRM_INTERVAL_MS = 2_000;
-/** Time for which an answer shows that the service is reached, in milliseconds. */
-const JUST_ANSWERED_MS = 300;
+/** Time for which an answer shows that the service is reached, or a round that it is lost, in milliseconds. */
+const JUST_KNOWN_MS = 300;
 /** Minimum time between two queries to other hosts once they have answered, in milliseconds. */
 const ASK_INTERVAL_MS = 1_000;
 
@@ -127,12 +127,14 @@
   }
 
   /**
-   * Returns whether an endpoint has answered so recently that no probe is needed.
+   * Returns whether a probe round is needed to tell another host whether the service
+   * is reached just now.
    *
    * @param nowMs - The current time.
    */
-  hasJustAnswered(nowMs: number): boolean {
-    return !this.isLost && nowMs - this.#lastAnswerAtMs < JUST_ANSWERED_MS;
+  shouldVerify(nowMs: number): boolean {
+    const knownAtMs = this.isLost ? this.#lastRoundAtMs : this.#lastAnswerAtMs;
+    return nowMs - knownAtMs >= JUST_KNOWN_MS;
   }
 
   /**
--- a/packages/routing/test/reach/call_paths_test.ts
+++ b/packages/routing/test/reach/call_paths_test.ts
@@ -80,6 +80,14 @@
     assert.equal(paths.listReaching("s", NOW_MS).length, 2);
   });
 
+  it("asks hosts that said they had lost the service if there are no others, and trusts their answer", () => {
+    const paths = createPaths(4, 4);
+    assert.deepEqual(paths.listReaching("s", NOW_MS), []);
+    const [asked = ""] = paths.listAsked("s", NOW_MS);
+    paths.setReaching(asked, "s");
+    assert.deepEqual(paths.listReaching("s", NOW_MS), [asked]);
+  });
+
   it("spreads the calls of one host over all hosts of its domain that reach the service", () => {
     const paths = createPaths(195, 146);
     const counts = new Map<string, number>();
