Kill the hosts of a soak that is stopped

Cause: a child process outlives its parent.

Change: a host process is killed when the process that started it exits, and the soak ends by an exit on SIGINT and SIGTERM.

--- a/packages/bench/src/soak/main.ts
+++ b/packages/bench/src/soak/main.ts
@@ -74,6 +74,11 @@
   }
 }
 
+/** Ends by an exit, so that the hosts are killed first. */
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(1));
+}
+
 const cli = new Cli({
   binaryName: "soak",
   binaryLabel: "Fault soak of briarhill",
--- a/packages/fakes/src/platform/host_process.ts
+++ b/packages/fakes/src/platform/host_process.ts
@@ -50,7 +50,15 @@
       stream.on("data", (bytes) => this.#lines.push(String(bytes)));
     }
     this.#child = child;
-    this.#exit = new Promise((resolve) => child.once("exit", resolve));
+    const killChild = () => child.kill("SIGKILL");
+    // A host that outlives this process would answer at its address in later runs.
+    process.once("exit", killChild);
+    this.#exit = new Promise((resolve) =>
+      child.once("exit", (code) => {
+        process.removeListener("exit", killChild);
+        resolve(code);
+      })
+    );
   }
 
   /**
