Tell a slow service from one that can't be reached; answer health checks in the stand-in

What was seen: in the soak and in the tests of limits, beside a load of 24 on 8 cores, calls were rejected as unreachable though endpoints answered, and endpoints got more than their limit.

A probe counted an endpoint that had taken the connection and answered after 120 ms as not reached. And the stand-in of the endpoints ran a health check as an attempt: it waited as long as one, and counted against the limit, where the platform counts attempts with an id only (docs/design/limits.md).

Ruled out: taking an open connection without any answer for reached (a link that falls silent after the connection is open would then never be noticed).

Change: a probe waits 120 ms for the connection and 300 ms more for the answer. The stand-in answers health checks at once, without counting them.

--- a/packages/edge/src/reach/reach_probe.ts
+++ b/packages/edge/src/reach/reach_probe.ts
@@ -6,8 +6,10 @@
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import { request } from "node:http";
 
-/** The timeout of a probe, in milliseconds: several round trips between failure domains and the delay of a busy endpoint. */
-const PROBE_TIMEOUT_MS = 120;
+/** The timeout for opening a connection, in milliseconds: many round trips between failure domains. */
+const CONNECT_TIMEOUT_MS = 120;
+/** The timeout for the answer on an open connection, in milliseconds; an endpoint that is slow is not cut off. */
+const ANSWER_TIMEOUT_MS = 300;
 
 /** What a probe has found: "refused" if a connection was rejected at once, "silent" if nothing has answered. */
 export type ProbeResult = "reached" | "refused" | "silent";
@@ -35,12 +37,19 @@
       resolve(result);
       outgoing.destroy();
     };
-    const timer = setTimeout(() => {
-      // An answer that has arrived while this process was not running is read first.
-      setImmediate(() => settle("silent"));
-    }, PROBE_TIMEOUT_MS);
+    // What has arrived while this process was not running is read first.
+    const wait = (timeoutMs: number, isOver: () => boolean) =>
+      setTimeout(
+        () => setImmediate(() => isOver() && settle("silent")),
+        timeoutMs,
+      );
+    let timer = wait(CONNECT_TIMEOUT_MS, () => !isConnected);
     outgoing.on("socket", (socket) => {
-      socket.once("connect", () => isConnected = true);
+      socket.once("connect", () => {
+        isConnected = true;
+        clearTimeout(timer);
+        timer = wait(ANSWER_TIMEOUT_MS, () => true);
+      });
     });
     outgoing.on("response", (response) => {
       response.on("error", () => undefined);
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -21,6 +21,7 @@
 } from "./endpoint_stand_in_options.ts";
 import { FIRST_SOFTWARE_VERSION, formatEvent } from "./event_text.ts";
 import { LimitMonitor } from "./limit_monitor.ts";
+import { HEALTH_PATH } from "./platform_configuration.ts";
 import { LeavingMonitor } from "./leaving_monitor.ts";
 import { CrashSwitch } from "./crash_switch.ts";
 import { ORDER_PATH, REPORT_PATH } from "@briarhill/platform/names/paths";
@@ -136,6 +137,9 @@
     const expected = request.headers[EXPECTED_INSTANCE.toLowerCase()];
     if (expected !== undefined && expected !== this.options.id) {
       response.writeHead(421).end();
+    } else if (request.url === HEALTH_PATH) {
+      // It takes no slot and counts against no limit, as it is no attempt.
+      response.writeHead(200, { "content-length": 0 }).end();
     } else if (request.url === REPORT_PATH) {
       this.#sendReport(response);
     } else if (request.url === ORDER_PATH) {
--- a/packages/fakes/src/platform/platform_configuration.ts
+++ b/packages/fakes/src/platform/platform_configuration.ts
@@ -3,6 +3,9 @@
  * @module
  */
 
+/** The path of the health check of all endpoints. */
+export const HEALTH_PATH = "/healthz";
+
 /** The HTTP host name of the routes of {@link createConfiguration}. */
 export const SERVICE_HOST = "app.example";
 
@@ -52,10 +55,10 @@
       retentionS: 40,
     }],
     services: [
-      { name: "app", healthPath: "/healthz", maxConns: 100 },
+      { name: "app", healthPath: HEALTH_PATH, maxConns: 100 },
       {
         name: "engines",
-        healthPath: "/healthz",
+        healthPath: HEALTH_PATH,
         maxConns: 100,
         engine: { models: [{ name: "m0" }] },
       },
