Leave a host out for as long as one failure says, and wait for its probe

Beside load, queries to other hosts timed out before their probes ended.

Cause: each of the calls that failed together at a dead host doubled the time for which it is left out, up to a minute; a host that does not reach a service was left out for a second, three times the interval of its own probes; a query waited 250 ms for a probe of up to 420.

Ruled out: the way of the records (the other cut host had relayed to it since 9.7 s).

Change: failures while a host is left out don't count, the time is 8 s at most, and its own word ends it; 300 ms for a service that it does not reach; 600 ms for a query.

--- a/packages/edge/src/reach/reach_query.ts
+++ b/packages/edge/src/reach/reach_query.ts
@@ -10,8 +10,8 @@
 
 /** The header that marks a query; its value is the name of the service, percent-encoded. */
 export const REACH_HEADER = "Briarhill-Reach";
-/** The timeout of a query, in milliseconds: a probe round of the other host, and its way. */
-const QUERY_TIMEOUT_MS = 250;
+/** The timeout of a query, in milliseconds: a probe round of the other host, up to 420 ms, and the way. */
+const QUERY_TIMEOUT_MS = 600;
 const MAX_CONNECTIONS = 4;
 const IDLE_TIMEOUT_MS = 3_000;
 const MAX_REPLY_BYTES = 1_024;
--- a/packages/routing/src/reach/call_paths.ts
+++ b/packages/routing/src/reach/call_paths.ts
@@ -18,9 +18,9 @@
 const MAX_RELAYS = 2;
 /** First time for which a host that does not answer is left out, in milliseconds; it doubles up to the maximum. */
 const FIRST_SUSPICION_MS = 1_000;
-const MAX_SUSPICION_MS = 60_000;
+const MAX_SUSPICION_MS = 8_000;
 /** Time for which a host is left out for a service that it has just failed to reach, in milliseconds. */
-const UNREACHED_MS = 1_000;
+const UNREACHED_MS = 300;
 
 /** Why a call is rejected if no endpoint of its service can be reached. */
 export const UNREACHED_REASON = "unreachable";
@@ -74,6 +74,8 @@
    */
   applyReach(reach: HostReach): void {
     this.#hosts.set(reach.host, reach);
+    // A host that has just said something lives.
+    this.#suspicions.delete(reach.host);
   }
 
   /**
@@ -92,6 +94,9 @@
    * @param nowMs - The current time.
    */
   addFailure(host: string, nowMs: number): void {
+    if (this.#isSuspect(host, nowMs)) {
+      return; // Calls that were sent before it was left out fail together.
+    }
     const failures = (this.#suspicions.get(host)?.failures ?? 0) + 1;
     const suspicionMs = FIRST_SUSPICION_MS * 2 ** (failures - 1);
     this.#suspicions.set(host, {
--- a/packages/routing/test/reach/call_paths_test.ts
+++ b/packages/routing/test/reach/call_paths_test.ts
@@ -80,6 +80,19 @@
     assert.equal(paths.listReaching("s", NOW_MS).length, 2);
   });
 
+  it("leaves out a host whose calls failed together for a second only, and not once it has started again", () => {
+    const paths = createPaths(2, 1);
+    for (let call = 0; call < 8; call++) {
+      paths.addFailure("h1", NOW_MS + call);
+    }
+    assert.deepEqual(paths.listReaching("s", NOW_MS + 900), []);
+    assert.deepEqual(paths.listReaching("s", NOW_MS + 1_000), ["h1"]);
+    paths.addFailure("h1", NOW_MS + 1_000);
+    assert.deepEqual(paths.listReaching("s", NOW_MS + 2_000), []);
+    paths.applyReach({ host: "h1", failureDomain: "d1", lostServices: [] });
+    assert.deepEqual(paths.listReaching("s", NOW_MS + 2_000), ["h1"]);
+  });
+
   it("asks hosts that said they had lost the service if there are no others, and trusts their answer", () => {
     const paths = createPaths(4, 4);
     assert.deepEqual(paths.listReaching("s", NOW_MS), []);
