--- a/review/common/run.mjs
+++ b/review/common/run.mjs
@@ -94,7 +94,9 @@
     this.child = child;
     this.startsMs.push(Date.now());
     child.stdout.on("data", () => undefined);
-    child.stderr.on("data", (bytes) => this.output += bytes);
+    child.stderr.on("data", (bytes) => {
+      this.output += String(bytes).replaceAll(ROOT, "");
+    });
     this.exited = new Promise((resolve) =>
       child.once("exit", (code, signal) => {
         this.exits.push({ atMs: Date.now(), code, signal });
