Review cases: use the heartbeat interval of the site

Cause: the stand-ins of servers wrote their entries every 300 ms, while their entries lapsed after 3.6 s.

Change: entries are written every 1.2 s and lapse three intervals after the last one.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -14,8 +14,6 @@
 const THINK_MS = 60;
 const RESTARTS = 5;
 const RESTART_INTERVAL_MS = 8_000;
-/** Three heartbeat intervals of 1.2 s, after which the entry of a crashed server is removed. */
-const REMOVAL_MS = 3_600;
 /** The share of its answers that a faulty server may spoil. */
 const MAX_SPOILED_SHARE = 0.02;
 
@@ -81,15 +79,12 @@
   restart() {
     const old = this.id;
     this.server.closeAllConnections();
+    this.lapse(old);
     this.id = `${old.split(".")[0]}.${++this.lives}`;
     this.bornMs = Date.now();
     this.sequence = 0;
     this.publish();
     this.run.write("server-restart", { old, now: this.id });
-    setTimeout(
-      () => this.run.store.publish("keyed.servers", old, undefined),
-      REMOVAL_MS,
-    );
   }
 }
 
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -14,8 +14,8 @@
 const WORK_MS = 60;
 const THINK_MS = 400;
 const GRACE_MS = 8_000;
-const STOPS = 28;
-const STOP_INTERVAL_MS = 3_000;
+const STOPS = 42;
+const STOP_INTERVAL_MS = 2_000;
 const REST_MS = 2_000;
 
 function createConfiguration() {
--- a/review/common/plain_server.mjs
+++ b/review/common/plain_server.mjs
@@ -6,7 +6,10 @@
 import { createServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 
-const HEARTBEAT_MS = 300;
+/** The heartbeat interval of the site. */
+const HEARTBEAT_MS = 1_200;
+/** An entry is removed after three heartbeat intervals of silence. */
+const LAPSE_MS = 3 * HEARTBEAT_MS;
 
 export class PlainServer {
   /**
@@ -40,9 +43,19 @@
   }
 
   publish() {
+    this.lastBeatMs = Date.now();
     this.run.store.publish("keyed.servers", this.id, this.createEntry());
   }
 
+  /** Lets the store remove an entry that its server no longer writes. */
+  lapse(id) {
+    const afterMs = this.lastBeatMs + LAPSE_MS - Date.now();
+    return setTimeout(
+      () => this.run.store.publish("keyed.servers", id, undefined),
+      Math.max(0, afterMs),
+    );
+  }
+
   createEntry() {
     return {
       service: this.service,
