Review case 2: stop one host at a time

Cause: stops of two hosts overlapped, though the disruption has one at a time.

Change: the next host is stopped once the one before is back in rotation.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -8,14 +8,17 @@
 import { PlainServer } from "../common/plain_server.mjs";
 import { BROKEN, HAS_TROUBLE, HELD, runCase } from "../common/run.mjs";
 
-const HOSTS = 8;
-const SERVERS = 5;
-const CLIENTS = 200;
+const HOSTS = 4;
+const SERVERS = 8;
+const CLIENTS = 160;
 const WORK_MS = 60;
-const THINK_MS = 400;
+const THINK_MS = 200;
 const GRACE_MS = 8_000;
-const STOPS = 42;
-const STOP_INTERVAL_MS = 2_000;
+const STOPS = 14;
+/** How long a stop and a start take. */
+const STOP_MS = 4_600;
+/** The pause between two stops. */
+const GAP_MS = 1_000;
 const REST_MS = 2_000;
 
 function createConfiguration() {
@@ -80,23 +83,21 @@
   await sleep(REST_MS);
 
   const stops = [];
-  const stopHost = async (host) => {
-    stops.push({ host, atMs: Date.now() });
-    host.signal("SIGTERM");
-    await host.exited;
-    host.start();
-  };
-  const stopping = [];
   for (let number = 0; number < STOPS; number++) {
     const host = run.hosts[number % HOSTS];
     if (HAS_TROUBLE) {
-      // A host is stopped only while it serves.
+      stops.push({ host, atMs: Date.now() });
+      host.signal("SIGTERM");
+      await host.exited;
+      host.start();
+      // The next host is stopped once this one serves again.
+      await sleep(1_000);
       await run.waitFor("the host is back", () => rotation.has(host));
-      stopping.push(stopHost(host));
+    } else {
+      await sleep(STOP_MS);
     }
-    await sleep(STOP_INTERVAL_MS);
+    await sleep(GAP_MS);
   }
-  await Promise.all(stopping);
   await sleep(REST_MS);
   isOver = true;
   await Promise.all(clients);
