--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -8,14 +8,14 @@
 import { PlainServer } from "../common/plain_server.mjs";
 import { BROKEN, HAS_TROUBLE, HELD, runCase } from "../common/run.mjs";
 
-const SERVERS = 3;
-const CLIENTS = 12;
+const SERVERS = 5;
+const CLIENTS = 36;
 const WORK_MS = 60;
 const THINK_MS = 60;
 const RESTARTS = 5;
 const RESTART_INTERVAL_MS = 8_000;
 /** The share of its answers that a faulty server may spoil. */
-const MAX_SPOILED_SHARE = 0.02;
+const MAX_SPOILED_SHARE = 0.03;
 
 function createConfiguration() {
   return {
