End a stop when the last connection of a caller is closed

Cause: a stop ended when no request was open. A connection that was busy when idle ones were closed could bring another request, which was read and passed on in the last 100 ms before the exit.

Ruled out: requests longer than the grace period (60 ms, stops of 3.4 to 4.0 s), new connections (all cut requests were sent on reused ones).

Change: ConnectionDrain counts connections, asks for their end in all responses once the load balancer has removed the host, and closes those whose response had begun before. Connections of other hosts are drained too. Jobs are released meanwhile, so that a store that is away uses up no grace.

Failed before: entry_host_test, "resolves once no connection of a caller is open that could bring a request".

--- a/packages/edge/src/http/caller_listener.ts
+++ b/packages/edge/src/http/caller_listener.ts
@@ -8,6 +8,7 @@
 import type { CallerLimits } from "@briarhill/routing/table/route";
 import { createServer, type Server } from "node:http";
 import type { Ingress } from "../calls/ingress.ts";
+import { ConnectionDrain } from "./connection_drain.ts";
 
 /** Limits that apply until the first configuration is loaded. */
 const INITIAL_LIMITS: CallerLimits = {
@@ -21,8 +22,8 @@
 export class CallerListener {
   readonly #logger: Logger;
   readonly #ingress: Ingress;
+  readonly #drain = new ConnectionDrain();
   #servers: readonly Server[] = [];
-  #isClosing = false;
 
   constructor(ingress: Ingress, logger: Logger) {
     this.#ingress = ingress;
@@ -58,16 +59,19 @@
     }
   }
 
-  /**
-   * Stops accepting connections, closes idle ones, and closes the remaining
-   * ones after their current request.
-   */
-  closeIdle(): void {
-    this.#isClosing = true;
-    for (const server of this.#servers) {
-      server.close();
-      server.closeIdleConnections();
-    }
+  /** The number of open connections. */
+  get openConnections(): number {
+    return this.#drain.openConnections;
+  }
+
+  /** Asks callers to use another connection for their next request. */
+  announceClose(): void {
+    this.#drain.announceClose();
+  }
+
+  /** Stops accepting connections, closes idle ones, and closes the others after their responses. */
+  close(): void {
+    this.#drain.close();
   }
 
   async #open(address: HttpAddress): Promise<Server> {
@@ -76,12 +80,8 @@
       requestTimeout: 0,
       headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
       keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs,
-    }, (request, response) => {
-      if (this.#isClosing) {
-        response.setHeader("Connection", "close");
-      }
-      void this.#ingress.handle(request, response);
-    });
+    }, (request, response) => void this.#ingress.handle(request, response));
+    this.#drain.addServer(server);
     server.on("clientError", (error, socket) => {
       this.#logger.error("request-unreadable", error);
       socket.destroy();
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -18,6 +18,7 @@
 import { LotRoutes } from "../lots/lot_routes.ts";
 import { HostMetrics } from "../observe/host_metrics.ts";
 import { MetricsListener } from "../observe/metrics_listener.ts";
+import type { PeerListener } from "../peers/peer_listener.ts";
 import type { HostSettings } from "../settings/host_settings.ts";
 import type { HostContext } from "./host_context.ts";
 import {
@@ -32,7 +33,9 @@
 
 /** The time during which a stopping host still accepts connections, in milliseconds: the load balancer checks each second and removes a host after two failed checks. */
 const BALANCER_REMOVAL_MS = 3_200;
-/** The interval at which a stopping host checks whether its requests have ended, in milliseconds. */
+/** The time after which the load balancer sends no new connections, in milliseconds; from then on, callers are asked to open new ones. */
+const CLOSE_ANNOUNCED_MS = 2_200;
+/** The interval at which a stopping host checks whether its connections are closed, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 /** The part of the grace period that is reserved for the exit of the process, in milliseconds. */
 const EXIT_MARGIN_MS = 800;
@@ -50,7 +53,7 @@
   readonly #ingress: Ingress;
   readonly #callers: CallerListener;
   readonly #metrics: MetricsListener;
-  #isStopping = false;
+  #stopped: Promise<void> | undefined;
 
   constructor(settings: HostSettings, logger: Logger) {
     const context = createContext(settings, logger);
@@ -129,39 +132,69 @@
     return this.#training.owner.isRunning(lot);
   }
 
-  /** Releases the host's shards and lease, drains the requests in progress, and stops within the grace period. */
-  async stop(): Promise<void> {
-    if (this.#isStopping) {
-      return;
-    }
-    this.#isStopping = true;
+  /**
+   * Releases the host's shards and lease, drains the connections of callers, and
+   * stops within the grace period. Further calls wait for the same stop.
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const startMs = this.#clock.getMonotonicMs();
-    const endMs = startMs + this.#settings.graceMs - EXIT_MARGIN_MS;
     this.#logger.info("host-stopping", { open: this.#ingress.openRequests });
-    const { orders, owner, lease, cleaner } = this.#training;
+    const { orders, cleaner } = this.#training;
     this.#serving.sharedReach.removeOwn();
     [orders, cleaner].forEach((component) => component.stop());
-    await Promise.all([owner.stop(), lease.stop()]);
-    this.#serving.permitOwner.close();
-    await this.#clock.sleep(
-      Math.max(0, startMs + BALANCER_REMOVAL_MS - this.#clock.getMonotonicMs()),
+    // The store may be away; the connections of callers are drained meanwhile.
+    const endMs = startMs + this.#settings.graceMs - EXIT_MARGIN_MS;
+    const released = this.#releaseJobs().catch((error: unknown) =>
+      this.#logger.error("jobs-release-failed", error)
     );
-    this.#callers.closeIdle();
-    while (
-      this.#ingress.openRequests > 0 && this.#clock.getMonotonicMs() < endMs
-    ) {
-      await this.#clock.sleep(DRAIN_POLL_INTERVAL_MS);
-    }
+    await this.#sleepUntil(startMs + CLOSE_ANNOUNCED_MS);
+    this.#callers.announceClose();
+    await this.#sleepUntil(startMs + BALANCER_REMOVAL_MS);
+    await this.#drainConnections(this.#callers, endMs);
+    // Calls that other hosts have passed on get their responses too.
+    await this.#drainConnections(this.#store.listener, endMs);
+    await Promise.race([released, this.#clock.sleep(DRAIN_POLL_INTERVAL_MS)]);
     this.#logger.info("host-stopped", {
       cut: this.#ingress.openRequests,
+      openConnections: this.#callers.openConnections,
       tookMs: Math.round(this.#clock.getMonotonicMs() - startMs),
     });
     this.#closeComponents();
     await this.#clock.sleep(DRAIN_POLL_INTERVAL_MS);
   }
 
+  async #releaseJobs(): Promise<void> {
+    const { owner, lease } = this.#training;
+    await Promise.all([owner.stop(), lease.stop()]);
+    this.#serving.permitOwner.close();
+  }
+
+  /** Waits until all connections of a listener are closed: an open one may bring a request at any time. */
+  async #drainConnections(
+    listener: CallerListener | PeerListener,
+    endMs: number,
+  ): Promise<void> {
+    listener.close();
+    while (
+      listener.openConnections > 0 && this.#clock.getMonotonicMs() < endMs
+    ) {
+      await this.#clock.sleep(DRAIN_POLL_INTERVAL_MS);
+    }
+  }
+
+  #sleepUntil(timeMs: number): Promise<void> {
+    return this.#clock.sleep(
+      Math.max(0, timeMs - this.#clock.getMonotonicMs()),
+    );
+  }
+
   #closeComponents(): void {
-    this.#store.listener.close();
+    this.#store.listener.closeAll();
     this.#lotCallForwarder.close();
     this.#store.peers.stop();
     this.#metrics.close();
@@ -186,7 +219,8 @@
   }
 
   #isReady(): boolean {
-    return !this.#isStopping && this.#serving.published.table !== undefined;
+    return this.#stopped === undefined &&
+      this.#serving.published.table !== undefined;
   }
 }
 
--- a/packages/edge/src/peers/peer_listener.ts
+++ b/packages/edge/src/peers/peer_listener.ts
@@ -15,6 +15,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { ConnectionDrain } from "../http/connection_drain.ts";
 import { PERMIT_HEADER } from "../limits/permit_owner.ts";
 import { CLAIM_HEADER } from "../lots/lot_claims.ts";
 import { REACH_HEADER } from "../reach/reach_query.ts";
@@ -48,10 +49,17 @@
   readonly #transport: RelayedTransport;
   readonly #logger: Logger;
   readonly #server: Server = createServer();
+  readonly #drain = new ConnectionDrain();
 
   constructor(transport: RelayedTransport, logger: Logger) {
     this.#transport = transport;
     this.#logger = logger;
+    this.#drain.addServer(this.#server);
+  }
+
+  /** The number of open connections. */
+  get openConnections(): number {
+    return this.#drain.openConnections;
   }
 
   /**
@@ -77,10 +85,14 @@
     return openServer(this.#server, address);
   }
 
-  /** Stops listening and closes all connections. */
+  /** Stops listening, closes idle connections, and closes the others after their responses. */
   close(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    this.#drain.close();
+  }
+
+  /** Closes all connections, whatever is under way on them. */
+  closeAll(): void {
+    this.#drain.closeAll();
   }
 
   async #forwardToStore(
--- a/packages/edge/test/node/platform_fixture.ts
+++ b/packages/edge/test/node/platform_fixture.ts
@@ -43,6 +43,11 @@
     return this.#hosts.findIndex((host) => host.isRunning(lot));
   }
 
+  /** Stops one host. */
+  async stopHost(host: number): Promise<void> {
+    await this.#hosts[host]?.stop();
+  }
+
   /** Stops the host that runs a lot. */
   async stopOwner(lot: string): Promise<void> {
     await this.#hosts.find((host) => host.isRunning(lot))?.stop();
