Let further SIGTERMs wait for the stop under way

Callers saw: a second SIGTERM during a stop ended the process at once, with all requests under way.

Cause: the listener of the signal was removed by the first one, so that the default action of the second one applied. Found while the stop of a host was searched for other ends than its own.

Failed before: main_test, "completes the requests in flight after SIGTERM" with a second signal after 100 ms: the response was lost.

--- a/packages/edge/src/node/main.ts
+++ b/packages/edge/src/node/main.ts
@@ -26,7 +26,8 @@
     // Addresses can't change while they are in use; all other settings are read at the next start.
     logger.info("settings-reloaded", { path });
   });
-  process.once("SIGTERM", () => {
+  // Without a listener, a second signal would end the process at once.
+  process.on("SIGTERM", () => {
     void host.stop().then(() => process.exit(0));
   });
   await host.start();
--- a/packages/edge/test/node/main_test.ts
+++ b/packages/edge/test/node/main_test.ts
@@ -94,6 +94,9 @@
     });
     await new Promise((resolve) => setTimeout(resolve, 100));
     hosts[0]?.sendSignal("SIGTERM");
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    // A second signal must not end the process before its requests.
+    hosts[0]?.sendSignal("SIGTERM");
     assert.equal((await call).status, 200);
     const ready = await platform.call(0, "GET", "/briarhill/readyz");
     assert.equal(ready.status, 503);
