Choose an idle connection on which no late copy can be mistaken

Change: the newest idle connection that can carry the request is used; one is closed only if there is none.

--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -73,12 +73,12 @@
       const watch = this.#startWatch(outgoing, exchange);
       let isRepeat = false;
       outgoing.once("socket", (socket: Socket) => {
-        isRepeat = this.#isAmbiguous(socket, exchange);
-        if (isRepeat) {
-          // No byte has been written yet, so it is safe to send the request on
-          // another connection.
-          outgoing.destroy();
-        }
+        isRepeat = this.#isAmbiguous(socket, exchange.exchangeId);
+        // No byte has been written yet, so it is safe to send the request on
+        // another connection.
+        isRepeat
+          ? outgoing.destroy()
+          : this.#history.addExchange(socket, exchange.exchangeId);
       });
       outgoing.on("response", (incoming: IncomingMessage) => {
         watch.clear();
@@ -125,6 +125,7 @@
 
   #createRequest(exchange: HttpRequest): ClientRequest {
     const { address, method, path, body, headers } = exchange;
+    this.#selectConnection(exchange);
     const length = hasBody(exchange)
       ? ["Content-Length", String(body?.length ?? 0)]
       : [];
@@ -139,6 +140,21 @@
     });
   }
 
+  /**
+   * Moves the newest idle connection that can carry a request to where the agent
+   * takes it from, as one that can't would have to be closed.
+   */
+  #selectConnection({ address, exchangeId }: HttpRequest): void {
+    const { hostname: host, port } = address;
+    const idle = this.#agent.freeSockets[this.#agent.getName({ host, port })];
+    const index =
+      idle?.findLastIndex((socket) => !this.#isAmbiguous(socket, exchangeId)) ??
+        -1;
+    if (idle !== undefined && index >= 0) {
+      idle.push(...idle.splice(index, 1));
+    }
+  }
+
   #createHead(
     { reusedSocket }: ClientRequest,
     response: IncomingMessage,
@@ -157,19 +173,10 @@
     };
   }
 
-  /**
-   * Returns whether the response to a request could not be told from a copy of an
-   * earlier one on this connection; records the request otherwise.
-   */
-  #isAmbiguous(socket: Socket, { exchangeId }: HttpRequest): boolean {
-    if (this.#options.hasLateCopies !== true) {
-      return false;
-    }
-    const isAmbiguous = this.#history.isAmbiguous(socket, exchangeId);
-    if (!isAmbiguous) {
-      this.#history.addExchange(socket, exchangeId);
-    }
-    return isAmbiguous;
+  /** Returns whether the response to a request could not be told from a copy of an earlier one on this connection. */
+  #isAmbiguous(socket: Socket, exchangeId: string | undefined): boolean {
+    return this.#options.hasLateCopies === true &&
+      this.#history.isAmbiguous(socket, exchangeId);
   }
 
   /**
