Bound the events, the bytes and the time of a sample's response

Cause: events without data count against no bound of a text, and each one restarts the only timeout of the response.

Ruled out: an event that never ends and a text that never ends; both have bounds with tests, and the events of the case are complete and empty.

Change: at most 131,072 events, 16 MiB and the attempt's deadline + 1 s. The events of a response beyond that are discarded.

--- a/packages/edge/src/lots/generation_reader.ts
+++ b/packages/edge/src/lots/generation_reader.ts
@@ -18,12 +18,19 @@
 /** Longest interval between complete events, in milliseconds; longer than a load of weights takes on a slow engine. */
 export const EVENT_TIMEOUT_MS = 2_500;
 
+/** The time that an engine has beyond the deadline of an attempt to end it, in milliseconds. */
+const OVERDUE_MS = 1_000;
+/** The maximum size of one response, in bytes: a text of maximum length and the lines around its events. */
+const MAX_STREAM_BYTES = 16_777_216;
+
 /** Options of a `GenerationReader`. */
 export interface GenerationReaderOptions {
   readonly clock: Clock;
   readonly lot: LotRequest;
   readonly task: SampleTask;
   readonly stream: IncomingMessage;
+  /** The time that the engine has for the attempt, in milliseconds. */
+  readonly deadlineMs: number;
   readonly signal: AbortSignal;
 }
 
@@ -33,6 +40,7 @@
   readonly #decoder = new EventDecoder();
   #eventTimer: Timer | undefined;
   #lastEventMs = 0;
+  #byteCount = 0;
   #earlyReport: GenerationReport | undefined;
 
   constructor(options: GenerationReaderOptions) {
@@ -46,9 +54,13 @@
    * @param headVersion - The version of the weights named in the response head.
    */
   readEvents(headVersion: number): Promise<GenerationReport> {
-    const { stream } = this.#options;
+    const { stream, clock, deadlineMs } = this.#options;
     let version = headVersion;
-    this.#lastEventMs = this.#options.clock.getMonotonicMs();
+    this.#lastEventMs = clock.getMonotonicMs();
+    const overdueTimer = clock.setTimer(
+      deadlineMs + OVERDUE_MS,
+      () => this.#close({ end: "broken", reason: "overdue" }),
+    );
     this.#scheduleTimeout();
     stream.on("data", (bytes: Buffer) => {
       version = this.#addBytes(bytes, version);
@@ -56,6 +68,7 @@
     return new Promise((resolve, reject) => {
       stream.on("close", () => {
         this.#eventTimer?.cancel();
+        overdueTimer.cancel();
         const report = this.#createReport();
         report.reason === "silent"
           ? reject(this.#createTimeoutError())
@@ -84,7 +97,9 @@
   }
 
   #decodeEvents(bytes: Buffer): readonly StreamEvent[] {
+    this.#byteCount += bytes.length;
     try {
+      throwIfOversized(this.#byteCount);
       return this.#decoder.addBytes(bytes);
     } catch (error) {
       if (!(error instanceof InputError)) {
@@ -140,3 +155,12 @@
     );
   }
 }
+
+function throwIfOversized(byteCount: number): void {
+  if (byteCount > MAX_STREAM_BYTES) {
+    throw new InputError(
+      `engine stream exceeds ${MAX_STREAM_BYTES} bytes`,
+      { props: { key: "stream" } },
+    );
+  }
+}
--- a/packages/edge/src/lots/generation_report.ts
+++ b/packages/edge/src/lots/generation_report.ts
@@ -23,3 +23,23 @@
   readonly end: GenerationEnd;
   readonly reason: string;
 }
+
+/** Why an attempt has ended if its events can't be trusted. */
+const SPOILED_REASONS: ReadonlySet<string> = new Set([
+  "gap",
+  "oversized",
+  "overdue",
+]);
+
+/**
+ * Returns whether the events of an attempt must be discarded.
+ *
+ * @example
+ * ```ts
+ * const isSpoiled = hasSpoiledEvents({ end: "broken", reason: "gap" });
+ * ```
+ * @param report - How the attempt has ended.
+ */
+export function hasSpoiledEvents({ reason }: GenerationReport): boolean {
+  return SPOILED_REASONS.has(reason);
+}
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -9,7 +9,10 @@
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
 import { setMaxListeners } from "node:events";
-import type { GenerationReport } from "./generation_report.ts";
+import {
+  type GenerationReport,
+  hasSpoiledEvents,
+} from "./generation_report.ts";
 import type { ProgressRecorder } from "./progress_recorder.ts";
 import type { ResultSettler } from "./result_settler.ts";
 import {
@@ -160,9 +163,10 @@
 
   #applyReport(
     task: SampleTask,
-    { end, reason }: GenerationReport,
+    report: GenerationReport,
     route: RouteStructure,
   ): void {
+    const { end } = report;
     if (end === "finished" && task.eventCount > 0) {
       task.isComplete = true;
       const isMixed = route.isSingleVersion && task.versions.length > 1;
@@ -180,7 +184,7 @@
       this.#dropSample(task, "failed");
       return;
     }
-    if (reason === "gap" || reason === "oversized") {
+    if (hasSpoiledEvents(report)) {
       task.clear();
     }
     task.phase = "waiting";
--- a/packages/edge/test/lots/sample_generation_test.ts
+++ b/packages/edge/test/lots/sample_generation_test.ts
@@ -17,10 +17,12 @@
 
 setLogWriter(() => undefined);
 
+/** The maximum number of tokens that an engine of the users' deployments holds. */
+const MAX_EVENTS = 153_581;
 const CHUNK = "x".repeat(65_536);
 
 describe("runGeneration", () => {
-  async function runScript(script: ConnectionScript) {
+  async function runScript(script: ConnectionScript, deadlineMs = 15_000) {
     const server = new RawEndpoint(script);
     const port = await server.start();
     const { sender, clock } = createSender();
@@ -39,7 +41,7 @@
       task,
       endpoint: createEndpoint(port),
       urgency: 5,
-      deadlineMs: 15_000,
+      deadlineMs,
       signal: new AbortController().signal,
       lot: {
         id: "l",
@@ -85,6 +87,58 @@
     assert.ok(task.eventCount <= 16);
   });
 
+  /** An endless stream of events without data filled the memory of a host, which ended with all requests under way. */
+  it("ends the attempt as oversized when events without data never end", async () => {
+    let id = 0;
+    const { report, task } = await runScript((socket) => {
+      socket.write(streamHead);
+      const write = () => {
+        let piece = "";
+        do {
+          piece = "";
+          for (let count = 0; count < 4_000; count++) {
+            piece += `id: ${id++}\n\n`;
+          }
+        } while (!socket.destroyed && socket.write(piece));
+      };
+      socket.on("drain", write);
+      write();
+    });
+    assert.deepEqual(report, { end: "broken", reason: "oversized" });
+    assert.ok(task.eventCount <= MAX_EVENTS, `${task.eventCount} events`);
+  });
+
+  it("ends the attempt as oversized when the lines around events never end", async () => {
+    let id = 0;
+    const { report, task } = await runScript((socket) => {
+      socket.write(streamHead);
+      const write = () => {
+        while (
+          !socket.destroyed &&
+          socket.write(`: ${CHUNK.slice(9_999)}\nid: ${id++}\ndata: e\n\n`)
+        );
+      };
+      socket.on("drain", write);
+      write();
+    });
+    assert.deepEqual(report, { end: "broken", reason: "oversized" });
+    assert.ok(task.eventCount < 400, `${task.eventCount} events`);
+  });
+
+  it("ends the attempt as overdue when events go on after its deadline", async () => {
+    let id = 0;
+    const { report, tookMs } = await runScript((socket) => {
+      socket.write(streamHead);
+      const timer = setInterval(
+        () => socket.write(`id: ${id++}\ndata: e\n\n`),
+        100,
+      );
+      socket.on("close", () => clearInterval(timer));
+    }, 300);
+    assert.deepEqual(report, { end: "broken", reason: "overdue" });
+    assert.ok(tookMs < 1_300 + SLACK_MS, `took ${tookMs} ms`);
+  });
+
   it("ends the attempt as silent when bytes arrive but no complete event", async () => {
     const script = createEndlessScript(`${streamHead}id: 0\ndata: `, {
       piece: "x",
--- a/packages/rollout/src/dispatch/sample_task.ts
+++ b/packages/rollout/src/dispatch/sample_task.ts
@@ -20,6 +20,8 @@
 
 /** The maximum length of a sample's text, in characters; a page of results holds 1 MB. */
 const MAX_TEXT_CHARACTERS = 1_000_000;
+/** The maximum number of events of a sample; an engine holds fewer tokens in its memory. */
+const MAX_EVENTS = 131_072;
 
 /** One event of an upstream response. */
 export interface GeneratedEvent {
@@ -109,7 +111,11 @@
     if (this.#texts.length > 0 && event.id !== this.#lastEventId + 1) {
       return "gap";
     }
-    if (this.#characterCount + event.data.length > MAX_TEXT_CHARACTERS) {
+    // Events without data take memory too.
+    if (
+      this.#texts.length >= MAX_EVENTS ||
+      this.#characterCount + event.data.length > MAX_TEXT_CHARACTERS
+    ) {
       return "oversized";
     }
     this.#characterCount += event.data.length;
