Copy small chunks of a body into one, and bound discarded responses of hosts

Cause: a body was kept as its chunks. A chunk of one byte holds a buffer of the connection (up to 64 KiB) and an object, so that the bound on the size of a body was none on memory.

Responses of other hosts that are not used are discarded within the bounds of drainBody.

Measured: byte_collector_test, 2,000 chunks of one byte hold less than 25 MiB of buffers; kept as chunks they hold 2,000 buffers of 64 KiB.

--- a/packages/common/src/http/body_reader.ts
+++ b/packages/common/src/http/body_reader.ts
@@ -3,10 +3,11 @@
  * may send bytes until its connection is closed.
  * @module
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import type { PortFault } from "../errors/errors.ts";
 import { createPortError } from "../errors/port_error.ts";
+import { ByteCollector } from "./byte_collector.ts";
 import { isComplete } from "./response_completeness.ts";
 
 /**
@@ -56,23 +57,24 @@
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const { timeoutMs, maxBytes, port, operation } = options;
-    let chunks: Buffer[] = [];
-    let bytes = 0;
+    const collector = new ByteCollector();
     let fault: PortFault | undefined;
     const abort = (reason: PortFault) => {
       fault ??= reason;
-      chunks = [];
+      collector.clear();
       stream.destroy();
     };
     const timer = setTimeout(() => abort("silent"), timeoutMs);
     stream.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      bytes > maxBytes ? abort("oversized") : chunks.push(chunk);
+      collector.addChunk(chunk);
+      if (collector.byteCount > maxBytes) {
+        abort("oversized");
+      }
     });
     stream.on("close", () => {
       clearTimeout(timer);
       if (isComplete(stream) && fault === undefined) {
-        resolve(Buffer.concat(chunks));
+        resolve(collector.toBuffer());
         return;
       }
       const kind = fault ?? "incomplete";
--- /dev/null
+++ b/packages/common/test/http/byte_collector_test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import process from "node:process";
+import { describe, it } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { ByteCollector } from "../../src/http/byte_collector.ts";
+
+const CONNECTION_BUFFER_BYTES = 65_536;
+const CHUNKS = 2_000;
+const MAX_HELD_BYTES = 400 * CONNECTION_BUFFER_BYTES;
+
+/** Returns the memory of buffers that are still referenced, in bytes. */
+function measureBufferBytes(): number {
+  setFlagsFromString("--expose_gc");
+  const collectGarbage = runInNewContext("gc") as () => void;
+  collectGarbage();
+  return process.memoryUsage().arrayBuffers;
+}
+
+describe("ByteCollector", () => {
+  /** A body in chunks of one byte took a hundred times its size, up to the end of the process. */
+  it("does not hold the connection's buffer for each small chunk", () => {
+    const collector = new ByteCollector();
+    const before = measureBufferBytes();
+    for (let index = 0; index < CHUNKS; index++) {
+      const received = Buffer.alloc(CONNECTION_BUFFER_BYTES, index % 256);
+      collector.addChunk(received.subarray(0, 1));
+    }
+    const heldBytes = measureBufferBytes() - before;
+    assert.ok(heldBytes < MAX_HELD_BYTES, `${heldBytes} bytes are held`);
+    assert.equal(collector.byteCount, CHUNKS);
+  });
+
+  it("returns all bytes in their order", () => {
+    const collector = new ByteCollector();
+    const bytes = Buffer.from(
+      Array.from({ length: CHUNKS }, (_, index) => index % 256),
+    );
+    for (const byte of bytes) {
+      collector.addChunk(Buffer.from([byte]));
+    }
+    assert.deepEqual(collector.toBuffer(), bytes);
+    collector.clear();
+    assert.equal(collector.toBuffer().length, 0);
+  });
+});
--- a/packages/edge/src/calls/request_body.ts
+++ b/packages/edge/src/calls/request_body.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import { InputError } from "@briarhill/common/errors/errors";
-import { Buffer } from "node:buffer";
+import { ByteCollector } from "@briarhill/common/http/byte_collector";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 
 /**
@@ -24,22 +25,20 @@
   maxBytes: number,
 ): Promise<Buffer | undefined> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const collector = new ByteCollector();
     request.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) {
+      collector.addChunk(chunk);
+      if (collector.byteCount > maxBytes) {
+        collector.clear();
         request.pause();
         reject(
           new InputError(`the body is larger than ${maxBytes} bytes`, {
             props: { key: "body" },
           }),
         );
-        return;
       }
-      chunks.push(chunk);
     });
-    request.on("end", () => resolve(Buffer.concat(chunks)));
+    request.on("end", () => resolve(collector.toBuffer()));
     request.on("close", () => resolve(undefined));
     // The "close" event that follows an error resolves the promise.
     request.on("error", () => undefined);
--- a/packages/edge/src/reach/call_relay.ts
+++ b/packages/edge/src/reach/call_relay.ts
@@ -6,7 +6,7 @@
  * A request is sent to a second host only if the first one can't have run it.
  * @module
  */
-import { readBody } from "@briarhill/common/http/body_reader";
+import { drainBody, readBody } from "@briarhill/common/http/body_reader";
 import type {
   HttpResponse,
   HttpResponseHead,
@@ -188,7 +188,7 @@
       );
       return reply;
     }
-    head.stream.resume();
+    drainBody(head.stream);
     if (reply.kind === "not-run" && reply.reason === UNREACHED_REASON) {
       const { paths, clock } = this.#options;
       paths.addUnreached(host, service, clock.getMonotonicMs());
