Settle requests whose response switches protocols or never begins

Callers saw (in tests): a request that was answered with 101 never settled, beyond each timeout; informational responses were read until the timeout; a whole response was reported as incomplete if other bytes came with it.

Cause: Node ends a request without an error event if nobody listens for the upgrade; informational responses had no bound in number; an error of a connection spoiled responses whose end is known from their length.

--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -11,10 +11,9 @@
   request,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { PortError, PortFault } from "../errors/errors.ts";
-import { createPortError } from "../errors/port_error.ts";
 import { readBody } from "./body_reader.ts";
 import { ConnectionHistory } from "./connection_history.ts";
+import { RequestWatch } from "./request_watch.ts";
 import { addBrokenResponse } from "./response_completeness.ts";
 import type {
   HttpRequest,
@@ -70,7 +69,7 @@
     return new Promise((resolve, reject) => {
       let response: IncomingMessage | undefined;
       const outgoing = this.#createRequest(exchange);
-      const watch = this.#startWatch(outgoing, exchange);
+      const watch = new RequestWatch(outgoing, exchange, this.#options);
       let isRepeat = false;
       outgoing.once("socket", (socket: Socket) => {
         isRepeat = this.#isAmbiguous(socket, exchange.exchangeId);
@@ -85,9 +84,17 @@
         response = incoming;
         resolve(this.#createHead(outgoing, incoming));
       });
+      // A response that switches protocols (101) ends without an error event.
+      outgoing.on("close", () => {
+        watch.clear();
+        if (response === undefined && !isRepeat) {
+          reject(watch.createError(undefined));
+        }
+      });
       outgoing.on("error", (error) => {
         watch.clear();
-        if (response !== undefined) {
+        // Whatever follows a response of known length belongs to no request.
+        if (response !== undefined && !hasKnownEnd(response)) {
           addBrokenResponse(response);
         }
         isRepeat
@@ -178,65 +185,12 @@
     return this.#options.hasLateCopies === true &&
       this.#history.isAmbiguous(socket, exchangeId);
   }
-
-  /**
-   * Aborts an exchange that times out or is cancelled, and records the reason
-   * for its error.
-   */
-  #startWatch(outgoing: ClientRequest, exchange: HttpRequest): ExchangeWatch {
-    const { port, connectTimeoutMs } = this.#options;
-    let isConnected = false;
-    let fault: PortFault | undefined;
-    const abort = (reason: PortFault) => {
-      fault ??= reason;
-      outgoing.destroy();
-    };
-    const connectTimer = setTimeout(() => abort("refused"), connectTimeoutMs);
-    const headTimer = setTimeout(() => abort("silent"), exchange.headTimeoutMs);
-    const onAbort = () => abort("cancelled");
-    exchange.signal?.addEventListener("abort", onAbort, { once: true });
-    outgoing.on("close", () => {
-      exchange.signal?.removeEventListener("abort", onAbort);
-    });
-    onConnected(outgoing, () => {
-      isConnected = true;
-      clearTimeout(connectTimer);
-    });
-    if (exchange.signal?.aborted) {
-      abort("cancelled");
-    }
-    return {
-      clear: () => {
-        clearTimeout(connectTimer);
-        clearTimeout(headTimer);
-      },
-      createError: (error) => {
-        const kind = fault ?? (isConnected ? "reset" : "refused");
-        return createPortError(`${port} ${exchange.path} failed: ${kind}`, {
-          cause: error,
-          port,
-          operation: exchange.path,
-          fault: kind,
-          outcome: isConnected ? "unknown" : "not-run",
-        });
-      },
-    };
-  }
-}
-
-/**
- * Calls back once a request has an open connection, which is immediate for a
- * reused one.
- */
-function onConnected(outgoing: ClientRequest, callback: () => void): void {
-  outgoing.on("socket", (socket: Socket) => {
-    socket.connecting ? socket.once("connect", callback) : callback();
-  });
 }
 
-interface ExchangeWatch {
-  readonly clear: () => void;
-  readonly createError: (error: unknown) => PortError;
+/** Returns whether the end of a response is known from its bytes, not from the end of its connection. */
+function hasKnownEnd({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
 }
 
 function hasBody({ method, body }: HttpRequest): boolean {
--- a/packages/common/test/http/http_sender_test.ts
+++ b/packages/common/test/http/http_sender_test.ts
@@ -63,7 +63,38 @@
     assert.equal(error.outcome, "unknown");
   });
 
+  it("returns a whole response with a length though other bytes follow it", async () => {
+    assert.equal(await sendOnce(`${ANSWER}no response`, "closed"), "answer");
+  });
+
   it("returns a response without a length whose connection is closed", async () => {
     assert.equal(await sendOnce(`${HEAD}\r\nwhole`, "closed"), "whole");
   });
 });
+
+describe("HttpSender.send with a response that is none", () => {
+  /** A call never settled, so that an attempt was under way for good. */
+  it("rejects when the server switches protocols", async () => {
+    const error = await sendOnce(
+      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+      "closed",
+    );
+    assert.ok(error instanceof PortError, String(error));
+    assert.equal(error.outcome, "unknown");
+  });
+
+  it("rejects when informational responses don't end, before the timeout", async () => {
+    const error = await sendOnce(
+      "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(1_000),
+      "closed",
+    );
+    assert.ok(error instanceof PortError, String(error));
+    assert.equal(error.fault, "malformed");
+    assert.equal(error.outcome, "unknown");
+  });
+
+  it("returns the response after a few informational ones", async () => {
+    const early = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(3);
+    assert.equal(await sendOnce(early + ANSWER, "closed"), "answer");
+  });
+});
