--- a/packages/common/src/http/body_reader.ts
+++ b/packages/common/src/http/body_reader.ts
@@ -5,7 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
-import type { PortFault } from "../errors/errors.ts";
+import type { PortError, PortFault } from "../errors/errors.ts";
 import { createPortError } from "../errors/port_error.ts";
 import { ByteCollector } from "./byte_collector.ts";
 import { isComplete } from "./response_completeness.ts";
@@ -56,7 +56,7 @@
   options: BodyReadOptions,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const { timeoutMs, maxBytes, port, operation } = options;
+    const { timeoutMs, maxBytes } = options;
     const collector = new ByteCollector();
     let fault: PortFault | undefined;
     const abort = (reason: PortFault) => {
@@ -77,22 +77,21 @@
         resolve(collector.toBuffer());
         return;
       }
-      const kind = fault ?? "incomplete";
-      reject(
-        createPortError(
-          `${port} ${operation}: can't read the response body: ${kind}`,
-          {
-            port,
-            operation,
-            fault: kind,
-            outcome: "unknown",
-          },
-        ),
-      );
+      reject(createReadError(options, fault ?? "incomplete"));
     });
   });
 }
 
+function createReadError(
+  { port, operation }: BodyReadOptions,
+  fault: PortFault,
+): PortError {
+  return createPortError(
+    `${port} ${operation}: can't read the response body: ${fault}`,
+    { port, operation, fault, outcome: "unknown" },
+  );
+}
+
 /**
  * Discards the rest of a response, so that its connection can be reused; closes
  * the connection if the rest is too large or takes too long.
