Read the list of software versions for each stream that is taken up

Callers see (report of another operator, shown by a test): a stream that began at a new software version goes on at the old one, at a host that is out of step for a moment.

Cause: the host used its list of versions without a read if it was younger than 1 s. With one version in the list it looks for no record and takes the stream for one of that version.

Ruled out: a clock that stood still (the age of a list uses both clocks), and records that are not read (they are read to their end each time).

Change: the list is read to its end after the request has arrived; if it can't be read, the stream is rejected as before.

--- a/packages/edge/src/origins/origin_finder.ts
+++ b/packages/edge/src/origins/origin_finder.ts
@@ -67,7 +67,8 @@
     if (local !== undefined) {
       return local;
     }
-    if (!await versions.readCurrent()) {
+    // The stream may have begun at a version that was registered a moment ago.
+    if (!await versions.readToEnd()) {
       return undefined;
     }
     const unrecorded = versions.registry.getUnrecordedOrigin(services);
--- a/packages/edge/src/origins/software_versions.ts
+++ b/packages/edge/src/origins/software_versions.ts
@@ -87,9 +87,18 @@
     return this.#follower.getAgeMs() <= MAX_AGE_MS;
   }
 
-  /** Reads the list again if it may be outdated, and returns whether it is current. */
-  async readCurrent(): Promise<boolean> {
-    return this.isCurrent || await this.#read();
+  /** Reads the list to its end, and returns whether it holds all versions that were registered before this call. */
+  async readToEnd(): Promise<boolean> {
+    try {
+      await this.#follower.readToEnd();
+      return true;
+    } catch (error) {
+      if (!(error instanceof BriarhillError)) {
+        throw error;
+      }
+      this.#options.logger.error("software-versions-unreadable", error);
+      return false;
+    }
   }
 
   /**
@@ -110,7 +119,7 @@
     const { log, logger } = this.#options;
     const key = formatVersionKey(version);
     for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts++) {
-      if (!await this.#read()) {
+      if (!await this.readToEnd()) {
         return false;
       }
       if (this.registry.hasVersion(version)) {
@@ -138,19 +147,6 @@
     return false;
   }
 
-  async #read(): Promise<boolean> {
-    try {
-      await this.#follower.readToEnd();
-      return true;
-    } catch (error) {
-      if (!(error instanceof BriarhillError)) {
-        throw error;
-      }
-      this.#options.logger.error("software-versions-unreadable", error);
-      return false;
-    }
-  }
-
   async #runPruning(): Promise<void> {
     const { clock } = this.#options;
     const { signal } = this.#stopping;
--- a/packages/edge/test/origins/stream_origins_test.ts
+++ b/packages/edge/test/origins/stream_origins_test.ts
@@ -132,3 +132,64 @@
     assert.equal(fresh.filter(({ hasBegun }) => hasBegun).length, STREAMS);
   });
 });
+
+const CUT_HOST = 2;
+/** Shorter than the age up to which a host once used its list of versions without another read. */
+const CUT_FOR_MS = 900;
+/** So many that endpoints of both versions are used. */
+const CONCURRENT_STREAMS = 8;
+/** The time in which the other hosts read the new entry; one that is younger than their list is another fault. */
+const LISTED_MS = 450;
+
+describe("EntryHost that is cut off while a software version joins", () => {
+  const platform = new PlatformFixture(23_500);
+  before(async () => {
+    await platform.startHosts(HOSTS);
+    const probe = new ClientStream({ id: "probe", deadlineMs: DEADLINE_MS });
+    await platform.waitFor(async () => {
+      await probe.readEvents(platform.getAddress(CUT_HOST));
+      return probe.hasBegun;
+    });
+  });
+  after(async () => {
+    platform.store.setBehavior("well", platform.getIp(CUT_HOST));
+    await platform.stopHosts();
+  });
+
+  /** A host that had not heard of a new version let streams of that version go on at the old one. */
+  it("lets no stream of that version go on at another one", async () => {
+    const [, newer] = platform.engines;
+    assert.ok(newer !== undefined);
+    platform.store.setBehavior("silent", platform.getIp(CUT_HOST));
+    const endMs = Date.now() + CUT_FOR_MS;
+    newer.softwareVersion = "v2";
+    newer.startIncarnation();
+    platform.store.publish(
+      ENDPOINT_TOPIC,
+      newer.options.id,
+      newer.createEntry(),
+    );
+    await sleep(LISTED_MS);
+    const streams: ClientStream[] = [];
+    const resumptions: Promise<unknown>[] = [];
+    while (Date.now() < endMs) {
+      const begun = Array.from({ length: CONCURRENT_STREAMS }, (_, index) => {
+        const id = `cut-${streams.length + index}`;
+        return new ClientStream({ id, deadlineMs: DEADLINE_MS });
+      });
+      streams.push(...begun);
+      await Promise.all(
+        begun.map((stream) => stream.readEvents(platform.getAddress(0), 1)),
+      );
+      resumptions.push(
+        ...begun.map((stream) =>
+          stream.readEvents(platform.getAddress(CUT_HOST))
+        ),
+      );
+    }
+    await Promise.all(resumptions);
+    assert.ok(streams.some(({ versions }) => versions.includes("v2")));
+    const mixed = streams.filter(({ versions }) => versions.length > 1);
+    assert.deepEqual(mixed.map(({ id }) => id), []);
+  });
+});
