Refuse requests that a stopping host can't finish, and answer all others

Cause: nothing compared the time that was left with the time that a request may take, and at the end the process exited with whatever was open.

Ruled out: only requests from before the load balancer's removal are cut (a stream sent 2.95 s after the signal was passed on too).

Change: StopWindow decides what is taken; HostDrain, taken out of EntryHost, ends what is still open 0.8 s before the end of the grace period.

--- a/packages/edge/src/calls/ingress.ts
+++ b/packages/edge/src/calls/ingress.ts
@@ -14,6 +14,7 @@
   decodeRequestHead,
   type RequestHead,
 } from "@briarhill/platform/ingress/request_head";
+import type { StopWindow } from "@briarhill/routing/admission/stop_window";
 import type { RouteStructure } from "@briarhill/routing/table/route";
 import type { RouteTable } from "@briarhill/routing/table/route_table";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -21,11 +22,14 @@
 import type { LotRoutes } from "../lots/lot_routes.ts";
 import { isForwardedCall } from "../peers/hop_headers.ts";
 import { writeProblemReply } from "./caller_reply.ts";
+import { canFinish, refuseLate } from "./late_request.ts";
 import type { LiveCalls } from "./live_calls.ts";
 import { readRequestBody } from "./request_body.ts";
 
 /** The retry delay that is reported while this host has no configuration yet, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 500;
+/** The time that handlers have to respond to requests that are ended, in milliseconds. */
+const ENDED_RESPONSE_MS = 100;
 
 /** A caller's request and the response to write. */
 export interface CallerExchange {
@@ -36,6 +40,8 @@
   readonly arrivedAtMs: number;
   /** Whether another host forwarded the request for its client. */
   readonly isForwarded: boolean;
+  /** Aborts when this host ends the requests that are still open. */
+  readonly endSignal: AbortSignal;
 }
 
 /** A request that matched a route, with its complete body. */
@@ -50,6 +56,7 @@
   readonly logger: Logger;
   readonly getTable: () => RouteTable | undefined;
   readonly isReady: () => boolean;
+  readonly stopWindow: StopWindow;
   readonly liveCalls: LiveCalls;
   readonly lotRoutes: LotRoutes;
   readonly lotCallForwarder: LotCallForwarder;
@@ -58,7 +65,8 @@
 /** Dispatches callers' requests to their handlers. */
 export class Ingress {
   readonly #options: IngressOptions;
-  #openRequests = 0;
+  readonly #openResponses = new Set<ServerResponse>();
+  readonly #end = new AbortController();
 
   constructor(options: IngressOptions) {
     this.#options = options;
@@ -66,7 +74,22 @@
 
   /** The number of requests in progress. */
   get openRequests(): number {
-    return this.#openRequests;
+    return this.#openResponses.size;
+  }
+
+  /**
+   * Ends the requests that are still open with a response that tells whether they may
+   * have run; streams that have begun are broken off.
+   */
+  async settleRequests(): Promise<void> {
+    this.#end.abort();
+    await this.#options.clock.sleep(ENDED_RESPONSE_MS);
+    for (const response of this.#openResponses) {
+      writeProblemReply(response, {
+        status: 502,
+        title: "may have run: this host stops",
+      });
+    }
   }
 
   /**
@@ -79,7 +102,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#openRequests++;
+    this.#openResponses.add(response);
     // A disconnect of the caller is handled on the "close" event.
     response.on("error", () => undefined);
     try {
@@ -87,7 +110,7 @@
     } catch (error) {
       this.#handleError(error, request, response);
     } finally {
-      this.#openRequests--;
+      this.#openResponses.delete(response);
     }
   }
 
@@ -95,7 +118,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, isReady, getTable } = this.#options;
+    const { isReady, getTable } = this.#options;
     const call = decodeIngressCall(request.method ?? "GET", request.url ?? "/");
     if (call.kind === "ready") {
       writeProblemReply(response, {
@@ -104,13 +127,7 @@
       });
       return;
     }
-    const exchange = {
-      request,
-      response,
-      head: decodeRequestHead(request.headers),
-      arrivedAtMs: clock.getMonotonicMs(),
-      isForwarded: isForwardedCall(request.headers),
-    };
+    const exchange = this.#createExchange(request, response);
     const table = getTable();
     if (table === undefined) {
       this.#options.logger.info("request-refused", {
@@ -132,6 +149,20 @@
     await this.#handleRouted(exchange, table);
   }
 
+  #createExchange(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): CallerExchange {
+    return {
+      request,
+      response,
+      head: decodeRequestHead(request.headers),
+      arrivedAtMs: this.#options.clock.getMonotonicMs(),
+      isForwarded: isForwardedCall(request.headers),
+      endSignal: this.#end.signal,
+    };
+  }
+
   async #handleLotCall(
     call: Exclude<IngressCall, { kind: "ready" | "routed" }>,
     exchange: CallerExchange,
@@ -176,6 +207,10 @@
       return;
     }
     const routed = { ...exchange, route, body };
+    if (!canFinish(routed, this.#options)) {
+      refuseLate(exchange, this.#options.logger);
+      return;
+    }
     await (route.kind === "rollout"
       ? lotRoutes.handleSubmission(routed)
       : liveCalls.handle(routed));
--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -64,14 +64,18 @@
   }
 
   async #handleCall(exchange: RoutedExchange): Promise<void> {
-    const callerClosed = new AbortController();
-    exchange.response.on("close", () => callerClosed.abort());
-    if (exchange.response.destroyed) {
-      callerClosed.abort();
+    const { response, endSignal } = exchange;
+    const ended = new AbortController();
+    const end = () => ended.abort();
+    response.on("close", end);
+    endSignal.addEventListener("abort", end);
+    if (response.destroyed || endSignal.aborted) {
+      end();
     }
     await (exchange.route.kind === "stream"
-      ? this.#streams.handle(exchange, callerClosed.signal)
-      : this.#handleBuffered(exchange, callerClosed.signal));
+      ? this.#streams.handle(exchange, ended.signal)
+      : this.#handleBuffered(exchange, ended.signal))
+      .finally(() => endSignal.removeEventListener("abort", end));
   }
 
   async #handleBuffered(
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -7,6 +7,7 @@
 import { hashText } from "@briarhill/common/hashing/rendezvous";
 import type { Logger } from "@briarhill/common/logging/logger";
 import { SeededRandom } from "@briarhill/common/random/seeded_random";
+import type { StopWindow } from "@briarhill/routing/admission/stop_window";
 import type { Clock } from "@briarhill/common/time/clock";
 import { SystemClock } from "@briarhill/common/time/system_clock";
 import { randomBytes } from "node:crypto";
@@ -18,9 +19,9 @@
 import { LotRoutes } from "../lots/lot_routes.ts";
 import { HostMetrics } from "../observe/host_metrics.ts";
 import { MetricsListener } from "../observe/metrics_listener.ts";
-import type { PeerListener } from "../peers/peer_listener.ts";
 import type { HostSettings } from "../settings/host_settings.ts";
 import type { HostContext } from "./host_context.ts";
+import { createStopWindow, HostDrain } from "./host_drain.ts";
 import {
   createServingComponents,
   type ServingComponents,
@@ -31,14 +32,8 @@
   type TrainingComponents,
 } from "./training_components.ts";
 
-/** The time during which a stopping host still accepts connections, in milliseconds: the load balancer checks each second and removes a host after two failed checks. */
-const BALANCER_REMOVAL_MS = 3_200;
-/** The time after which the load balancer sends no new connections, in milliseconds; from then on, callers are asked to open new ones. */
-const CLOSE_ANNOUNCED_MS = 2_200;
-/** The interval at which a stopping host checks whether its connections are closed, in milliseconds. */
-const DRAIN_POLL_INTERVAL_MS = 50;
-/** The part of the grace period that is reserved for the exit of the process, in milliseconds. */
-const EXIT_MARGIN_MS = 800;
+/** The time that components have to end on their own, in milliseconds. */
+const CLOSE_MS = 50;
 const INCARNATION_BYTES = 4;
 
 /** An entry host with all of its components. */
@@ -53,6 +48,7 @@
   readonly #ingress: Ingress;
   readonly #callers: CallerListener;
   readonly #metrics: MetricsListener;
+  readonly #stopWindow: StopWindow;
   #stopped: Promise<void> | undefined;
 
   constructor(settings: HostSettings, logger: Logger) {
@@ -78,10 +74,18 @@
       peers: this.#store.peers,
       partitions: this.#training.partitions,
     });
-    this.#ingress = new Ingress({
+    this.#stopWindow = createStopWindow(settings.graceMs);
+    this.#ingress = this.#createIngress(context);
+    this.#callers = new CallerListener(this.#ingress, logger);
+    this.#metrics = new MetricsListener(context.metrics);
+  }
+
+  #createIngress(context: HostContext): Ingress {
+    return new Ingress({
       ...context,
       getTable: () => this.#serving.published.table,
       isReady: () => this.#isReady(),
+      stopWindow: this.#stopWindow,
       liveCalls: new LiveCalls({ ...context, ...this.#serving }),
       lotRoutes: new LotRoutes({
         ...context,
@@ -89,8 +93,6 @@
       }),
       lotCallForwarder: this.#lotCallForwarder,
     });
-    this.#callers = new CallerListener(this.#ingress, logger);
-    this.#metrics = new MetricsListener(context.metrics);
   }
 
   /** Opens all listeners and starts all components. */
@@ -147,25 +149,26 @@
     const { orders, cleaner } = this.#training;
     this.#serving.sharedReach.removeOwn();
     [orders, cleaner].forEach((component) => component.stop());
-    // The store may be away; the connections of callers are drained meanwhile.
-    const endMs = startMs + this.#settings.graceMs - EXIT_MARGIN_MS;
+    // The store may be away; connections are drained meanwhile.
     const released = this.#releaseJobs().catch((error: unknown) =>
       this.#logger.error("jobs-release-failed", error)
     );
-    await this.#sleepUntil(startMs + CLOSE_ANNOUNCED_MS);
-    this.#callers.announceClose();
-    await this.#sleepUntil(startMs + BALANCER_REMOVAL_MS);
-    await this.#drainConnections(this.#callers, endMs);
-    // Calls that other hosts have passed on get their responses too.
-    await this.#drainConnections(this.#store.listener, endMs);
-    await Promise.race([released, this.#clock.sleep(DRAIN_POLL_INTERVAL_MS)]);
+    await new HostDrain({
+      clock: this.#clock,
+      settings: this.#settings,
+      stopWindow: this.#stopWindow,
+      ingress: this.#ingress,
+      callers: this.#callers,
+      peers: this.#store.listener,
+    }).drainAll();
+    await Promise.race([released, this.#clock.sleep(CLOSE_MS)]);
     this.#logger.info("host-stopped", {
       cut: this.#ingress.openRequests,
       openConnections: this.#callers.openConnections,
       tookMs: Math.round(this.#clock.getMonotonicMs() - startMs),
     });
     this.#closeComponents();
-    await this.#clock.sleep(DRAIN_POLL_INTERVAL_MS);
+    await this.#clock.sleep(CLOSE_MS);
   }
 
   async #releaseJobs(): Promise<void> {
@@ -174,25 +177,6 @@
     this.#serving.permitOwner.close();
   }
 
-  /** Waits until all connections of a listener are closed: an open one may bring a request at any time. */
-  async #drainConnections(
-    listener: CallerListener | PeerListener,
-    endMs: number,
-  ): Promise<void> {
-    listener.close();
-    while (
-      listener.openConnections > 0 && this.#clock.getMonotonicMs() < endMs
-    ) {
-      await this.#clock.sleep(DRAIN_POLL_INTERVAL_MS);
-    }
-  }
-
-  #sleepUntil(timeMs: number): Promise<void> {
-    return this.#clock.sleep(
-      Math.max(0, timeMs - this.#clock.getMonotonicMs()),
-    );
-  }
-
   #closeComponents(): void {
     this.#store.listener.closeAll();
     this.#lotCallForwarder.close();
--- a/packages/edge/test/node/entry_host_test.ts
+++ b/packages/edge/test/node/entry_host_test.ts
@@ -1,8 +1,6 @@
 import { OPERATOR_TOPIC } from "@briarhill/platform/names/topics";
 import assert from "node:assert/strict";
-import { Agent } from "node:http";
 import { after, before, describe, it } from "node:test";
-import { setTimeout as sleep } from "node:timers/promises";
 import { PlatformFixture } from "./platform_fixture.ts";
 
 const COMPLETE_TEXT = Array.from({ length: 8 }, (_, id) => `e${id}`).join("\n");
@@ -184,37 +182,3 @@
     assert.equal((await platform.waitResults(0, "lot-d", 2)).length, 2);
   });
 });
-
-/** Under way when a stopping host closes its idle connections, 3.2 s after the stop has begun. */
-const CALL_AFTER_MS = 2_000;
-const CALL_TAKES_MS = 1_500;
-
-describe("EntryHost.stop", () => {
-  const platform = new PlatformFixture(21_700);
-  before(() => platform.startHosts(1));
-  after(() => platform.stop());
-
-  /** A stopped host still read requests on open connections, passed them on and exited before it answered. */
-  it("resolves once no connection of a caller is open that could bring a request", async () => {
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-    const headers = {
-      "X-Briarhill-Attempt-Id": "late",
-      "X-Briarhill-Deadline-Ms": "3000",
-    };
-    const call = (id: string) =>
-      platform.call(0, "POST", "/app/query", {
-        headers: { ...headers, "X-Briarhill-Attempt-Id": id },
-        body: "x",
-        agent,
-      });
-    await call("early");
-    const stopped = platform.stopHost(0);
-    await sleep(CALL_AFTER_MS);
-    platform.services.forEach((service) => service.delayMs = CALL_TAKES_MS);
-    const response = await call("late");
-    await stopped;
-    assert.equal(response.status, 200);
-    assert.equal(response.headers.connection, "close");
-    assert.deepEqual(Object.keys(agent.freeSockets), []);
-  });
-});
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -56,6 +56,8 @@
   eventDelayMs = 0;
   /** The delay before each attempt starts, in milliseconds; reports and orders are not delayed. */
   delayMs = 0;
+  /** The attempts that have arrived, whether they ran or not. */
+  readonly arrivals: string[] = [];
   /** The version of its software, which shows in all events that it generates. */
   softwareVersion = FIRST_SOFTWARE_VERSION;
   /** Crashes when it runs certain requests. */
@@ -146,6 +148,9 @@
       this.#handleOrder(JSON.parse(body.toString()), response);
     } else {
       this.limit.addArrival();
+      this.arrivals.push(
+        String(request.headers[ATTEMPT_ID.toLowerCase()] ?? ""),
+      );
       await sleep(this.delayMs);
       if (this.crash.isTriggered(body)) {
         await this.crash.killEndpoint(this);
