Survive items that HTTP can't carry

Cause: http.request throws for characters that it can't send. The attempt passed the TypeError on as an unhandled rejection, which ends the process; the kept lot then ended the next host.

Ruled out: the decoding of the lot (it was accepted and read back).

The tests are of new functions or results and have not been run on.

--- a/packages/common/src/errors/errors.ts
+++ b/packages/common/src/errors/errors.ts
@@ -71,7 +71,9 @@
   | "rejected"
   | "cancelled"
   | "incomplete"
-  | "oversized";
+  | "oversized"
+  /** The request itself can't be sent by the protocol, whatever the server. */
+  | "unsendable";
 
 /**
  * A failed call to an external system; `outcome` states whether it may have
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -11,6 +11,7 @@
   request,
 } from "node:http";
 import type { Socket } from "node:net";
+import { createPortError } from "../errors/port_error.ts";
 import { readBody } from "./body_reader.ts";
 import { ConnectionHistory } from "./connection_history.ts";
 import { RequestWatch } from "./request_watch.ts";
@@ -68,6 +69,7 @@
   open(exchange: HttpRequest): Promise<HttpResponseHead> {
     return new Promise((resolve, reject) => {
       let response: IncomingMessage | undefined;
+      // An error that is thrown here rejects the promise.
       const outgoing = this.#createRequest(exchange);
       const watch = new RequestWatch(outgoing, exchange, this.#options);
       let isRepeat = false;
@@ -136,15 +138,19 @@
     const length = hasBody(exchange)
       ? ["Content-Length", String(body?.length ?? 0)]
       : [];
-    return request({
-      agent: this.#agent,
-      host: address.hostname,
-      port: address.port,
-      method,
-      path,
-      headers: [...headers, ...length] as unknown as Record<string, string>,
-      setHost: false,
-    });
+    try {
+      return request({
+        agent: this.#agent,
+        host: address.hostname,
+        port: address.port,
+        method,
+        path,
+        headers: [...headers, ...length] as unknown as Record<string, string>,
+        setHost: false,
+      });
+    } catch (error) {
+      throw createUnsendableError(error, this.#options.port);
+    }
   }
 
   /**
@@ -187,6 +193,19 @@
   }
 }
 
+/** Node rejects characters that a path or a header can't hold. */
+function createUnsendableError(error: unknown, port: string): unknown {
+  return error instanceof TypeError
+    ? createPortError(`${port}: can't send a request: ${error.message}`, {
+      cause: error,
+      port,
+      operation: "send",
+      fault: "unsendable",
+      outcome: "not-run",
+    })
+    : error;
+}
+
 /** Returns whether the end of a response is known from its bytes, not from the end of its connection. */
 function hasKnownEnd({ headers }: IncomingMessage): boolean {
   return headers["content-length"] !== undefined ||
--- a/packages/edge/src/calls/endpoint_failure.ts
+++ b/packages/edge/src/calls/endpoint_failure.ts
@@ -108,6 +108,10 @@
     return "cancelled";
   }
   const fault = error instanceof PortError ? error.fault : "reset";
+  if (fault === "unsendable") {
+    // It says nothing about the endpoint.
+    return "cancelled";
+  }
   if (fault === "refused") {
     return "closed";
   }
--- a/packages/edge/src/lots/lot_runner.ts
+++ b/packages/edge/src/lots/lot_runner.ts
@@ -11,6 +11,7 @@
 import { setMaxListeners } from "node:events";
 import {
   type GenerationReport,
+  getBackoffMs,
   hasSpoiledEvents,
 } from "./generation_report.ts";
 import type { ProgressRecorder } from "./progress_recorder.ts";
@@ -22,12 +23,10 @@
 import { pickForTask } from "./task_pick.ts";
 import type { SampleScorer } from "./sample_scorer.ts";
 
-/** Backoff after an attempt that was refused, in milliseconds. */
-const REFUSED_BACKOFF_MS = 30;
 /** Maximum clock skew between two hosts, in milliseconds; added so that a sample is abandoned late rather than early. */
 const MAX_CLOCK_SKEW_MS = 5_000;
-/** Backoff after an attempt that broke off, in milliseconds; by then the engine has dropped the attempt. */
-const BROKEN_BACKOFF_MS = 40;
+/** Backoff after a scoring call that failed, in milliseconds. */
+const SCORING_BACKOFF_MS = 40;
 
 /** Options of a `LotRunner`. */
 export interface LotRunnerOptions extends RunningSamplesOptions {
@@ -189,7 +188,7 @@
     }
     task.phase = "waiting";
     task.notBeforeMs = this.#options.clock.getMonotonicMs() +
-      (end === "refused" ? REFUSED_BACKOFF_MS : BROKEN_BACKOFF_MS);
+      getBackoffMs(report);
   }
 
   async #score(task: SampleTask): Promise<void> {
@@ -221,7 +220,7 @@
     }
     task.phase = "unscored";
     task.notBeforeMs = clock.getMonotonicMs() +
-      (retryAfterMs ?? BROKEN_BACKOFF_MS);
+      (retryAfterMs ?? SCORING_BACKOFF_MS);
   }
 
   #settle(task: SampleTask): void {
--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -147,7 +147,9 @@
       abort: new AbortController(),
     };
     this.#attempts.set(task.request.id, attempt);
-    const report = await this.#generate(attempt);
+    const report = await this.#generate(attempt).catch((error: unknown) =>
+      this.#createFaultReport(attempt, error)
+    );
     this.#attempts.delete(task.request.id);
     this.#recordAttempt(attempt, report);
     return report;
@@ -175,6 +177,19 @@
     });
   }
 
+  /** An error of this program at one sample must not end the process with all other requests. */
+  #createFaultReport(
+    { task, endpoint }: SampleAttempt,
+    error: unknown,
+  ): GenerationReport {
+    this.#options.logger.error("sample-attempt-failed", error, {
+      lot: this.#lot.id,
+      sample: task.request.id,
+      endpoint: endpoint.id,
+    });
+    return { end: "broken", reason: "fault" };
+  }
+
   #takeTarget({ request }: SampleTask): EndpointStructure | undefined {
     const target = this.#targets.get(request.id);
     this.#targets.delete(request.id);
--- a/packages/edge/src/node/main.ts
+++ b/packages/edge/src/node/main.ts
@@ -30,6 +30,11 @@
   process.on("SIGTERM", () => {
     void host.stop().then(() => process.exit(0));
   });
+  // An error at one request must not end the process with all others.
+  process.on(
+    "unhandledRejection",
+    (error) => logger.error("unexpected-error", error),
+  );
   await host.start();
 }
 
--- a/packages/edge/test/lots/sample_generation_test.ts
+++ b/packages/edge/test/lots/sample_generation_test.ts
@@ -1,5 +1,6 @@
 import { setLogWriter } from "@briarhill/common/logging/logger";
 import { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
+import type { SampleRequest } from "@briarhill/rollout/ledger/lot_request";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { runGeneration } from "../../src/lots/sample_generation.ts";
@@ -22,7 +23,11 @@
 const CHUNK = "x".repeat(65_536);
 
 describe("runGeneration", () => {
-  async function runScript(script: ConnectionScript, deadlineMs = 15_000) {
+  async function runScript(
+    script: ConnectionScript,
+    deadlineMs = 15_000,
+    fields: Partial<SampleRequest> = {},
+  ) {
     const server = new RawEndpoint(script);
     const port = await server.start();
     const { sender, clock } = createSender();
@@ -33,6 +38,7 @@
       body: "",
       expectedTokens: 10,
       group: "g",
+      ...fields,
     });
     const startMs = performance.now();
     const report = await runGeneration({
@@ -139,6 +145,12 @@
     assert.ok(tookMs < 1_300 + SLACK_MS, `took ${tookMs} ms`);
   });
 
+  /** A sample that an earlier build has accepted ended each host that ran it. */
+  it("does not throw for a sample that can't be sent", async () => {
+    const { report } = await runScript(() => undefined, 300, { path: "/a b" });
+    assert.deepEqual(report, { end: "refused", reason: "unsendable" });
+  });
+
   it("ends the attempt as silent when bytes arrive but no complete event", async () => {
     const script = createEndlessScript(`${streamHead}id: 0\ndata: `, {
       piece: "x",
--- a/packages/platform/src/engine/sample_call.ts
+++ b/packages/platform/src/engine/sample_call.ts
@@ -9,12 +9,12 @@
 import { Buffer } from "node:buffer";
 import {
   ATTEMPT_ID,
-  DEADLINE_MS,
-  EXPECTED_INSTANCE,
   EXPECTED_VERSION,
   LAST_EVENT_ID,
   URGENCY,
 } from "../names/headers.ts";
+import { encodeForwardedHeaders } from "../ingress/request_head.ts";
+import { encodeHeaderValue } from "../ingress/header_text.ts";
 import type { EngineCall } from "./engine_calls.ts";
 
 /** Options of a generation request. */
@@ -61,13 +61,16 @@
     headers: [
       "Host",
       options.host,
-      ...sample.headers.flat(),
+      // Headers of a single connection would contradict those of this one.
+      ...encodeForwardedHeaders(
+        sample.headers.flatMap(([name, value]) => [
+          name,
+          encodeHeaderValue(value),
+        ]),
+        options,
+      ),
       ATTEMPT_ID,
       sample.id,
-      DEADLINE_MS,
-      String(Math.floor(options.deadlineMs)),
-      EXPECTED_INSTANCE,
-      options.endpoint,
       URGENCY,
       String(options.urgency),
       ...(lastEventId < 0 ? [] : [LAST_EVENT_ID, String(lastEventId)]),
--- a/packages/platform/src/ingress/lot_codec.ts
+++ b/packages/platform/src/ingress/lot_codec.ts
@@ -11,7 +11,12 @@
   ScoringRequest,
 } from "@briarhill/rollout/ledger/lot_request";
 import { Buffer } from "node:buffer";
-import { LENGTH_HINT, TOKEN_USAGE } from "../names/headers.ts";
+import { ATTEMPT_ID, LENGTH_HINT, TOKEN_USAGE } from "../names/headers.ts";
+import {
+  encodeHeaderValue,
+  throwIfNoHeader,
+  throwIfNoPath,
+} from "./header_text.ts";
 import { FieldReader } from "../records/field_reader.ts";
 
 /** Lot ids are part of keys of the shared log, which holds keys of at most 255 bytes. */
@@ -67,11 +72,13 @@
 }
 
 function decodeSample(fields: FieldReader): SampleRequest {
-  const headers = fields.listTextEntries("headers");
+  const headers = fields.listTextEntries("headers").map((
+    [name, value],
+  ) => [name, encodeHeaderValue(value)] as const);
+  headers.forEach(([name, value]) => throwIfNoHeader(name, value));
   const scoring = fields.getObject("scorer");
   return {
-    id: fields.getText("id"),
-    path: fields.getText("path"),
+    ...decodeTarget(fields),
     headers,
     body: fields.getText("body", ""),
     group: fields.getText("group", fields.getText("id")),
@@ -81,12 +88,20 @@
 }
 
 function decodeScoring(fields: FieldReader): ScoringRequest {
-  return {
-    id: fields.getText("id"),
-    host: fields.getText("host"),
-    path: fields.getText("path"),
-    body: fields.getText("body", ""),
-  };
+  const host = fields.getText("host");
+  throwIfNoHeader("Host", host);
+  return { ...decodeTarget(fields), host, body: fields.getText("body", "") };
+}
+
+/** Decodes what becomes the attempt id and the path of a request. */
+function decodeTarget(
+  fields: FieldReader,
+): { readonly id: string; readonly path: string } {
+  const id = fields.getText("id");
+  const path = fields.getText("path");
+  throwIfNoHeader(ATTEMPT_ID, id);
+  throwIfNoPath(path);
+  return { id, path };
 }
 
 /** Returns the caller's length hint, else the maximum number of output tokens, else 0. */
