Wait for other hosts only as long as they have calls of their callers

Cause: a stop waited for all connections of other hosts, up to the end of the grace period if a host was cut off in the middle of a call.

Change: calls between hosts get 300 ms once the callers' connections are closed; calls that were passed on for callers get their responses as before.

--- a/packages/edge/src/node/host_drain.ts
+++ b/packages/edge/src/node/host_drain.ts
@@ -20,6 +20,8 @@
 const END_MARGIN_MS = 800;
 /** The time in which the last responses are sent, in milliseconds. */
 const LAST_RESPONSES_MS = 300;
+/** The time in which other hosts end their own calls, in milliseconds; calls for their callers may take longer. */
+const PEER_CALLS_MS = 300;
 /** The interval between checks whether all connections are closed, in milliseconds. */
 const POLL_INTERVAL_MS = 50;
 
@@ -68,8 +70,11 @@
     callers.announceClose();
     await this.#sleepUntil(Math.min(startMs + ACCEPTING_MS, endMs));
     await this.#drainListener(callers, endMs);
-    // Calls that other hosts have passed on get their responses too.
-    await this.#drainListener(peers, endMs);
+    // Calls that other hosts have passed on for their callers get their responses too.
+    await this.#drainListener(peers, clock.getMonotonicMs() + PEER_CALLS_MS);
+    while (ingress.openRequests > 0 && clock.getMonotonicMs() < endMs) {
+      await clock.sleep(POLL_INTERVAL_MS);
+    }
     if (ingress.openRequests > 0) {
       await ingress.settleRequests();
       await this.#drainListener(callers, endMs + LAST_RESPONSES_MS);
