Give each request its own signal for the end of a stop

Cause: all requests listened to one signal, and Node warns of a leak from the 11th listener on. Change: each request in progress has its own controller, which the end of a stop aborts. No other change of behaviour.

Measured: host_drain_test, entry_host_test and main_test pass.

--- a/packages/edge/src/calls/ingress.ts
+++ b/packages/edge/src/calls/ingress.ts
@@ -65,8 +65,8 @@
 /** Dispatches callers' requests to their handlers. */
 export class Ingress {
   readonly #options: IngressOptions;
-  readonly #openResponses = new Set<ServerResponse>();
-  readonly #end = new AbortController();
+  /** The responses of the requests in progress, and what ends each request. */
+  readonly #openResponses = new Map<ServerResponse, AbortController>();
 
   constructor(options: IngressOptions) {
     this.#options = options;
@@ -82,9 +82,9 @@
    * have run; streams that have begun are broken off.
    */
   async settleRequests(): Promise<void> {
-    this.#end.abort();
+    this.#openResponses.forEach((end) => end.abort());
     await this.#options.clock.sleep(ENDED_RESPONSE_MS);
-    for (const response of this.#openResponses) {
+    for (const response of this.#openResponses.keys()) {
       writeProblemReply(response, {
         status: 502,
         title: "may have run: this host stops",
@@ -102,11 +102,12 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#openResponses.add(response);
+    const end = new AbortController();
+    this.#openResponses.set(response, end);
     // A disconnect of the caller is handled on the "close" event.
     response.on("error", () => undefined);
     try {
-      await this.#handleCall(request, response);
+      await this.#handleCall(this.#createExchange(request, response, end));
     } catch (error) {
       this.#handleError(error, request, response);
     } finally {
@@ -114,10 +115,8 @@
     }
   }
 
-  async #handleCall(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  async #handleCall(exchange: CallerExchange): Promise<void> {
+    const { request, response } = exchange;
     const { isReady, getTable } = this.#options;
     const call = decodeIngressCall(request.method ?? "GET", request.url ?? "/");
     if (call.kind === "ready") {
@@ -127,7 +126,6 @@
       });
       return;
     }
-    const exchange = this.#createExchange(request, response);
     const table = getTable();
     if (table === undefined) {
       this.#options.logger.info("request-refused", {
@@ -152,6 +150,7 @@
   #createExchange(
     request: IncomingMessage,
     response: ServerResponse,
+    end: AbortController,
   ): CallerExchange {
     return {
       request,
@@ -159,7 +158,7 @@
       head: decodeRequestHead(request.headers),
       arrivedAtMs: this.#options.clock.getMonotonicMs(),
       isForwarded: isForwardedCall(request.headers),
-      endSignal: this.#end.signal,
+      endSignal: end.signal,
     };
   }
 
--- a/packages/edge/src/calls/live_calls.ts
+++ b/packages/edge/src/calls/live_calls.ts
@@ -74,8 +74,7 @@
     }
     await (exchange.route.kind === "stream"
       ? this.#streams.handle(exchange, ended.signal)
-      : this.#handleBuffered(exchange, ended.signal))
-      .finally(() => endSignal.removeEventListener("abort", end));
+      : this.#handleBuffered(exchange, ended.signal));
   }
 
   async #handleBuffered(
