Let the stop test end as soon as its stop has ended

Cause: its endpoints held requests for 30 s, which kept the test's process alive; three test runs here ran into their own limit. Change: 9 s, longer than the grace period of 8 s.

--- a/packages/edge/test/node/host_drain_test.ts
+++ b/packages/edge/test/node/host_drain_test.ts
@@ -10,6 +10,8 @@
 
 /** The load balancer has removed a stopping host by then, which still accepts connections. */
 const LATE_MS = 2_950;
+/** Longer than the grace period of 8 s. */
+const BEYOND_GRACE_MS = 9_000;
 
 describe("EntryHost.stop", () => {
   const platform = new PlatformFixture(21_700);
@@ -57,7 +59,7 @@
 
   /** Requests that came late in the grace period were passed on, and cut without a response at its end. */
   it("refuses late ones at once, and answers all others before it resolves", async () => {
-    platform.engines.forEach((engine) => engine.delayMs = 30_000);
+    platform.engines.forEach((engine) => engine.delayMs = BEYOND_GRACE_MS);
     const stopped = platform.stopHost(0);
     const early = call("early", "/streams/x");
     await sleep(LATE_MS);
