--- a/review/common-2/deployment.mjs
+++ b/review/common-2/deployment.mjs
@@ -266,6 +266,25 @@
   });
 }
 
+// Records what the servers have run of a lot.
+export function recordRuns(record, servers, lot) {
+  const runs = servers.flatMap((server) => server.runs)
+    .filter(({ id }) => id.startsWith(lot))
+    .sort((a, b) => a.arrivedMs - b.arrivedMs);
+  for (const { id, server, lastEvent, arrivedMs, endedMs, isWhole } of runs) {
+    const took = endedMs === undefined
+      ? "still runs"
+      : `${endedMs - arrivedMs} ms`;
+    record.add(
+      `${server} ran ${id} ${
+        lastEvent === undefined ? "from its start" : `after event ${lastEvent}`
+      }, which arrived ${Date.now() - arrivedMs} ms ago: ${took}, ${
+        isWhole ? "to its end" : "not to its end"
+      }`,
+    );
+  }
+}
+
 // Runs a case and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 export async function runCase(folder, run, options) {
   const record = new Record(`${folder}/record.txt`);
