--- a/review/13/case.mjs
+++ b/review/more-2/one/case.mjs
@@ -3,12 +3,12 @@
 import { dirname } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
-import { Endpoint } from "../standins-3/endpoint.mjs";
+import { Endpoint } from "../../standins-2/endpoint.mjs";
 import {
   Platform,
   SERVICE_HOST as host,
   sleep,
-} from "../standins-3/platform.mjs";
+} from "../../standins-2/platform.mjs";
 
 const LEASE_MS = 3_000;
 const HOSTS = [0, 1, 2];
--- a/review/unlisted-3/oversized/case.mjs
+++ b/review/more-2/oversized/case.mjs
@@ -1,15 +1,15 @@
 // The store is down for some seconds while the samples of a lot end, whose text takes three bytes a character. Tells
-// whether the results of the lot are ever listed. Breaks no rule by its letter; see REPORT-3.md.
+// whether the results of the lot are ever listed. Breaks no rule by its letter; see REPORT-2.md.
 import { createServer, request } from "node:http";
 import { dirname } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
-import { Endpoint } from "../../standins-3/endpoint.mjs";
+import { Endpoint } from "../../standins-2/endpoint.mjs";
 import {
   Platform,
   SERVICE_HOST as host,
   sleep,
-} from "../../standins-3/platform.mjs";
+} from "../../standins-2/platform.mjs";
 
 const HOSTS = [0, 1, 2];
 /** The limit of the settings for one record (recordBytes). */
--- a/review/9/main.mjs
+++ b/review/more-2/silent-engines/main.mjs
@@ -2,8 +2,8 @@
 import { dirname } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { createLot, recordRuns, runCase } from "../common-2/deployment.mjs";
-import { BOUNDS } from "../common-2/hosts.mjs";
+import { createLot, recordRuns, runCase } from "../../common-2/deployment.mjs";
+import { BOUNDS } from "../../common-2/hosts.mjs";
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
 const EVENTS = 36;
--- a/review/10/main.mjs
+++ b/review/more-2/stale-configuration/main.mjs
@@ -7,8 +7,8 @@
   createLot,
   ROUTES,
   runCase,
-} from "../common-2/deployment.mjs";
-import { BOUNDS } from "../common-2/hosts.mjs";
+} from "../../common-2/deployment.mjs";
+import { BOUNDS } from "../../common-2/hosts.mjs";
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
 /** The lots that trainers hand in at the same time, of 16 items each. */
--- a/review/unlisted-3/stream/case.mjs
+++ b/review/more-2/stream/case.mjs
@@ -4,12 +4,12 @@
 import { dirname } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
-import { Endpoint } from "../../standins-3/endpoint.mjs";
+import { Endpoint } from "../../standins-2/endpoint.mjs";
 import {
   Platform,
   SERVICE_HOST as host,
   sleep,
-} from "../../standins-3/platform.mjs";
+} from "../../standins-2/platform.mjs";
 
 const HOSTS = [0, 1, 2];
 const REQUESTS = 24;
