Fail responses without a length whose connection is reset

Cause: Node takes a response without a length as complete however its connection ends. If the reset arrives together with the last bytes, the runtime reports a plain end and no error, on which the sender relied. Responses with "Transfer-Encoding: identity" passed as complete even if the error was reported, as the sender took the header for a length of its own.

Ruled out: an error event that comes after the body was taken (200 of 200 such resets report none).

Change: the end of the connection is followed from the head of each response on. A reset is told from a plain end by the kernel, which has closed the connection by then (no address of the peer). This holds for all readers of HttpSender. A response that is given up on the way never counts as complete.

--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -15,7 +15,7 @@
 import { readBody } from "./body_reader.ts";
 import { ConnectionHistory } from "./connection_history.ts";
 import { RequestWatch } from "./request_watch.ts";
-import { addBrokenResponse } from "./response_completeness.ts";
+import { followConnectionEnd } from "./response_completeness.ts";
 import type {
   HttpAddress,
   HttpRequest,
@@ -69,7 +69,7 @@
    */
   open(exchange: HttpRequest): Promise<HttpResponseHead> {
     return new Promise((resolve, reject) => {
-      let response: IncomingMessage | undefined;
+      let hasResponse = false;
       // An error that is thrown here rejects the promise.
       const outgoing = this.#createRequest(exchange);
       const watch = new RequestWatch(outgoing, exchange, this.#options);
@@ -84,22 +84,19 @@
       });
       outgoing.on("response", (incoming: IncomingMessage) => {
         watch.clear();
-        response = incoming;
+        hasResponse = true;
+        followConnectionEnd(incoming);
         resolve(this.#createHead(outgoing, incoming));
       });
       // A response that switches protocols (101) ends without an error event.
       outgoing.on("close", () => {
         watch.clear();
-        if (response === undefined && !isRepeat) {
+        if (!hasResponse && !isRepeat) {
           reject(watch.createError(undefined));
         }
       });
       outgoing.on("error", (error) => {
         watch.clear();
-        // Whatever follows a response of known length belongs to no request.
-        if (response !== undefined && !hasKnownEnd(response)) {
-          addBrokenResponse(response);
-        }
         isRepeat
           ? this.open(exchange).then(resolve, reject)
           : reject(watch.createError(error));
@@ -219,12 +216,6 @@
     : error;
 }
 
-/** Returns whether the end of a response is known from its bytes, not from the end of its connection. */
-function hasKnownEnd({ headers }: IncomingMessage): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-}
-
 function hasBody({ method, body }: HttpRequest): boolean {
   return body !== undefined || method === "POST" || method === "PUT";
 }
--- a/packages/common/src/http/response_completeness.ts
+++ b/packages/common/src/http/response_completeness.ts
@@ -4,27 +4,67 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 
-/** Responses whose connection has failed. */
+/** Responses whose connection was reset or failed before they were complete. */
 const BROKEN_RESPONSES = new WeakSet<IncomingMessage>();
 
 /**
- * Records that the connection of a response has failed.
+ * Watches how the connection of a response ends; must be called as soon as the
+ * response head has arrived.
+ *
+ * If the bytes and the reset of a connection have arrived together, the runtime
+ * reads the bytes and reports a plain end without an error. The kernel has closed
+ * the connection by then, whereas one that the server has ended is half open.
  *
  * @example
  * ```ts
  * declare const response: import("node:http").IncomingMessage;
  *
- * addBrokenResponse(response);
+ * followConnectionEnd(response);
  * ```
  * @param response - The response.
  */
-export function addBrokenResponse(response: IncomingMessage): void {
-  BROKEN_RESPONSES.add(response);
+export function followConnectionEnd(response: IncomingMessage): void {
+  const { socket } = response;
+  // A response that is complete before its connection ends is not affected.
+  const addIfIncomplete = () => {
+    if (!response.complete) {
+      BROKEN_RESPONSES.add(response);
+    }
+  };
+  const addIfReset = () => {
+    if (isReset(socket)) {
+      addIfIncomplete();
+    }
+  };
+  // The parser, which listens too, takes the end for the end of the response.
+  socket.prependListener("end", addIfReset);
+  socket.prependListener("error", addIfIncomplete);
+  response.once("close", () => {
+    socket.off("end", addIfReset);
+    socket.off("error", addIfIncomplete);
+  });
+}
+
+/**
+ * Returns whether the kernel has closed a connection whose end is being reported.
+ * The address of the peer must not be read before, as the runtime keeps it.
+ *
+ * @example
+ * ```ts
+ * declare const socket: import("node:net").Socket;
+ *
+ * socket.prependListener("end", () => isReset(socket));
+ * ```
+ * @param socket - The connection.
+ */
+export function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
 }
 
 /**
- * Returns whether a closed response has been received completely.
+ * Returns whether a closed response has been received and read completely.
  *
  * @example
  * ```ts
@@ -35,5 +75,7 @@
  * @param response - The response.
  */
 export function isComplete(response: IncomingMessage): boolean {
-  return response.complete && !BROKEN_RESPONSES.has(response);
+  // A response that is given up is complete for the parser, but has no end event.
+  return response.complete && response.readableEnded &&
+    !BROKEN_RESPONSES.has(response);
 }
--- a/packages/common/test/http/http_sender_test.ts
+++ b/packages/common/test/http/http_sender_test.ts
@@ -6,10 +6,32 @@
 
 const HEAD = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
 const ANSWER = `${HEAD}Content-Length: 6\r\n\r\nanswer`;
+/** How a server ends its connection, once the bytes have been read or together with them. */
 const ENDS = {
-  closed: (socket: Socket) => socket.end(),
-  reset: (socket: Socket) => socket.resetAndDestroy(),
+  "closed": (socket: Socket, bytes: string) => {
+    socket.write(bytes, () => setTimeout(() => socket.end(), 5));
+  },
+  "closed at once": (socket: Socket, bytes: string) => {
+    socket.end(bytes);
+  },
+  "reset": (socket: Socket, bytes: string) => {
+    socket.write(bytes, () => setTimeout(() => socket.resetAndDestroy(), 5));
+  },
+  "reset at once": (socket: Socket, bytes: string) => {
+    socket.write(bytes, () => socket.resetAndDestroy());
+  },
 } as const;
+/** Heads of responses whose body ends with the connection. */
+const UNFRAMED_HEADS = {
+  "no length": "HTTP/1.1 200 OK\r\n\r\n",
+  "no length on a connection that is said to be kept":
+    "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\n",
+  "the version 1.0": "HTTP/1.0 200 OK\r\n\r\n",
+  "a coding that has no end of its own":
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n",
+} as const;
+/** The number of responses read in each case, some of which arrive in one read with the end of their connection. */
+const ROUNDS = 20;
 
 /** Sends a request to a server that writes these bytes and ends the connection; returns the body or the error. */
 async function sendOnce(
@@ -18,11 +40,7 @@
 ): Promise<unknown> {
   const server = createServer((socket) => {
     socket.on("error", () => undefined);
-    // The bytes are read before the connection ends.
-    socket.on(
-      "data",
-      () => socket.write(bytes, () => setTimeout(() => ENDS[end](socket), 5)),
-    );
+    socket.on("data", () => ENDS[end](socket, bytes));
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const sender = new HttpSender({
@@ -47,7 +65,7 @@
 
 describe("HttpSender.send with a response that ends early", () => {
   /** Callers got an empty or shortened answer that looked whole. */
-  for (const end of ["closed", "reset"] as const) {
+  for (const end of Object.keys(ENDS) as (keyof typeof ENDS)[]) {
     it(`rejects with an unknown outcome wherever the response is ${end}`, async () => {
       for (let length = 1; length < ANSWER.length; length++) {
         const error = await sendOnce(ANSWER.slice(0, length), end);
@@ -57,19 +75,35 @@
     });
   }
 
-  it("rejects a response without a length whose connection is reset", async () => {
-    const error = await sendOnce(`${HEAD}\r\npart`, "reset");
-    assert.ok(error instanceof PortError, String(error));
-    assert.equal(error.outcome, "unknown");
+  /** Half an answer passed as whole when its connection was reset before its last bytes were read. */
+  for (const [name, head] of Object.entries(UNFRAMED_HEADS)) {
+    for (const end of ["reset", "reset at once"] as const) {
+      it(`rejects a response with ${name} whose connection is ${end}`, async () => {
+        for (let round = 0; round < ROUNDS; round++) {
+          const error = await sendOnce(`${head}part`, end);
+          assert.ok(error instanceof PortError, String(error));
+          assert.equal(error.outcome, "unknown");
+        }
+      });
+    }
+    for (const end of ["closed", "closed at once"] as const) {
+      it(`returns a response with ${name} whose connection is ${end}`, async () => {
+        for (let round = 0; round < ROUNDS; round++) {
+          assert.equal(await sendOnce(`${head}whole`, end), "whole");
+        }
+      });
+    }
+  }
+
+  it("returns a whole response with a length whose connection is reset", async () => {
+    for (const end of ["reset", "reset at once"] as const) {
+      assert.equal(await sendOnce(ANSWER, end), "answer");
+    }
   });
 
   it("returns a whole response with a length though other bytes follow it", async () => {
     assert.equal(await sendOnce(`${ANSWER}no response`, "closed"), "answer");
   });
-
-  it("returns a response without a length whose connection is closed", async () => {
-    assert.equal(await sendOnce(`${HEAD}\r\nwhole`, "closed"), "whole");
-  });
 });
 
 describe("HttpSender.send with a response that is none", () => {
--- a/packages/edge/test/calls/endpoint_failure_test.ts
+++ b/packages/edge/test/calls/endpoint_failure_test.ts
@@ -9,6 +9,7 @@
   createRequest,
   createSender,
   DUPLICATE_DELAY_MS,
+  HEAD,
   REFUSED,
   sendTwice,
   TIMEOUT_MS,
@@ -111,3 +112,54 @@
     assert.equal(await callReport(script, "report"), "report 1");
   });
 });
+
+/** Callers got half of an answer as a complete one, and hosts acted on half of a report. */
+describe("EndpointSender with a response that ends with its connection", () => {
+  /** Heads of the responses to calls, and to control calls, which echo no id. */
+  const HEADS = { "call": HEAD, "control call": "HTTP/1.1 200 OK\r\n" };
+  const ROUNDS = 10;
+
+  /** Returns the body or the outcome of a call that the endpoint answers with this script. */
+  async function sendTo(
+    script: ConnectionScript,
+    kind: "call" | "control call",
+  ): Promise<string> {
+    const server = new RawEndpoint(script);
+    const endpoint = createEndpoint(await server.start());
+    const { sender } = createSender();
+    const sent = kind === "call"
+      ? sender.send(createRequest(endpoint))
+        .then(({ httpAnswer }) => httpAnswer)
+      : sender.callControl(
+        endpoint,
+        REPORT_CALL,
+        TIMEOUT_MS,
+      );
+    const result = await sent.then(
+      ({ body }) => body.toString(),
+      (error) => `${error.fault} ${error.outcome}`,
+    );
+    sender.close();
+    server.close();
+    return result;
+  }
+
+  for (const kind of ["call", "control call"] as const) {
+    it(`rejects a ${kind} whose response is reset before its last bytes are read`, async () => {
+      const script: ConnectionScript = (socket) =>
+        socket.write(
+          `${HEADS[kind]}\r\npart`,
+          () => socket.resetAndDestroy(),
+        );
+      for (let round = 0; round < ROUNDS; round++) {
+        assert.equal(await sendTo(script, kind), "incomplete unknown");
+      }
+    });
+
+    it(`returns the response to a ${kind} whose connection is closed`, async () => {
+      const script: ConnectionScript = (socket) =>
+        socket.end(`${HEADS[kind]}\r\nwhole`);
+      assert.equal(await sendTo(script, kind), "whole");
+    });
+  }
+});
--- a/packages/edge/test/lots/sample_generation_test.ts
+++ b/packages/edge/test/lots/sample_generation_test.ts
@@ -21,6 +21,8 @@
 /** The maximum number of tokens that an engine of the users' deployments holds. */
 const MAX_EVENTS = 153_581;
 const CHUNK = "x".repeat(65_536);
+/** Some of so many resets arrive in one read with the last bytes. */
+const RESET_ROUNDS = 10;
 
 describe("runGeneration", () => {
   async function runScript(
@@ -161,6 +163,20 @@
     assert.ok(tookMs < 2_500 + SLACK_MS, `took ${tookMs} ms`);
   });
 
+  /** Samples were completed with a part of their text, from which their trainers learned. */
+  it("breaks the attempt off when the stream is reset before its last bytes are read", async () => {
+    for (let round = 0; round < RESET_ROUNDS; round++) {
+      const { report, task } = await runScript((socket) =>
+        socket.write(
+          `${streamHead}id: 0\ndata: e\n\n`,
+          () => socket.resetAndDestroy(),
+        )
+      );
+      assert.deepEqual(report, { end: "broken", reason: "cut" });
+      assert.equal(task.eventCount, 1);
+    }
+  });
+
   it("finishes a slow stream whose events are complete", async () => {
     const { report, task } = await runScript((socket) => {
       socket.write(streamHead);
--- a/packages/edge/test/peers/relayed_transport_test.ts
+++ b/packages/edge/test/peers/relayed_transport_test.ts
@@ -14,6 +14,7 @@
 const AT_ONCE_MS = 400;
 const CALLS = 25;
 const CALL_INTERVAL_MS = 100;
+const RESET_ROUNDS = 10;
 
 async function startServer(handle: RequestListener): Promise<Server> {
   const server = createServer(handle);
@@ -72,3 +73,33 @@
     });
   });
 });
+
+describe("RelayedTransport.call with a response that ends with its connection", () => {
+  /** A host took a part of a page of the log for the whole of it. */
+  it("rejects a response of the store that is reset before its last bytes are read", async () => {
+    const store = await startServer(({ socket }) => {
+      socket.write(
+        "HTTP/1.1 200 OK\r\n\r\npart",
+        () => socket.resetAndDestroy(),
+      );
+    });
+    const transport = new RelayedTransport({
+      store: getAddress(store),
+      clock: new SystemClock(),
+      logger: Logger.create({}),
+      listPeers: () => [],
+    });
+    const results = await Promise.allSettled(
+      Array.from({ length: RESET_ROUNDS }, () =>
+        transport.callDirect({
+          method: "GET",
+          path: "/",
+          timeoutMs: CALL_TIMEOUT_MS,
+          mayRelay: false,
+        })),
+    );
+    transport.close();
+    store.close();
+    assert.ok(results.every(({ status }) => status === "rejected"));
+  });
+});
