Fail reset responses without a length in the adapters' HTTP client

What callers saw: a part of a page or a body as the whole of it.

Cause: undici takes any reset of a connection for the end of a response without a length, also one that is reported as an error.

Ruled out: the cause in HttpSender alone; here the reported resets pass, too.

Change: the connections of a client are watched for resets from their start. A response that ends while the listeners of a reset connection are called is reported as failed. The connector and the observer of a call have files of their own.

--- a/packages/ports/src/http/http_client.ts
+++ b/packages/ports/src/http/http_client.ts
@@ -4,18 +4,16 @@
  * @module
  */
 import { PortError } from "@briarhill/common/errors/errors";
-import {
-  buildConnector,
-  DecoratorHandler,
-  type Dispatcher,
-  Pool,
-} from "undici";
+import { type Dispatcher, Pool } from "undici";
 import type { z } from "zod";
 import { CallProgress } from "./call_progress.ts";
+import { createConnector } from "./create_connector.ts";
 import { DEFAULT_HTTP_SETTINGS, type HttpSettings } from "./http_settings.ts";
 import { parseJson } from "./json.ts";
 import type { ReadPacer } from "./read_pacer.ts";
 import { createRejectionError, isRejectionStatus } from "./rejection.ts";
+import { ResetMonitor } from "./reset_monitor.ts";
+import { createResponseObserver } from "./response_observer.ts";
 
 /** An HTTP call. */
 export interface HttpCall {
@@ -52,6 +50,7 @@
   readonly #settings: HttpSettings;
   readonly #pool: Pool;
   readonly #basePath: string;
+  readonly #resets = new ResetMonitor();
 
   constructor(port: string, address: string, options: HttpClientOptions = {}) {
     const url = new URL(address);
@@ -60,7 +59,11 @@
     this.#settings = { ...DEFAULT_HTTP_SETTINGS, ...settings };
     this.#basePath = url.pathname.replace(/\/$/, "");
     this.#pool = new Pool(url.origin, {
-      connect: createConnector(this.#settings.connectTimeoutMs, pacer),
+      connect: createConnector({
+        timeoutMs: this.#settings.connectTimeoutMs,
+        resets: this.#resets,
+        pacer,
+      }),
       bodyTimeout: this.#settings.progressTimeoutMs,
     });
   }
@@ -152,7 +155,13 @@
   ): Promise<Dispatcher.ResponseData> {
     call.signal?.throwIfAborted();
     const observed = this.#pool.compose((dispatch) => (options, handler) =>
-      dispatch(options, createObserver(handler, () => progress.recordSent()))
+      dispatch(
+        options,
+        createResponseObserver(handler, {
+          resets: this.#resets,
+          onStart: () => progress.recordSent(),
+        }),
+      )
     );
     const options: Dispatcher.RequestOptions = {
       method: call.method,
@@ -186,45 +195,6 @@
   }
 }
 
-/** With a pacer, a connection stops reading at any unread byte. */
-function createConnector(
-  timeout: number,
-  pacer: ReadPacer | undefined,
-): buildConnector.connector {
-  if (pacer === undefined) {
-    return buildConnector({ timeout });
-  }
-  const bufferOptions = { highWaterMark: undefined, readableHighWaterMark: 1 };
-  const connect = buildConnector({ timeout, ...bufferOptions });
-  return (options, callback) =>
-    connect(options, (...[error, socket]) => {
-      if (error === null) {
-        pacer.addSocket(socket);
-        callback(null, socket);
-      } else {
-        callback(error, null);
-      }
-    });
-}
-
-/** Calls `onStart` after queueing and connecting, before any byte is sent. */
-function createObserver(
-  handler: Dispatcher.DispatchHandler,
-  onStart: () => void,
-): Dispatcher.DispatchHandler {
-  const wrapped: Dispatcher.DispatchHandler = new DecoratorHandler(handler);
-  return {
-    onRequestStart: (controller, context) => {
-      onStart();
-      wrapped.onRequestStart?.(controller, context);
-    },
-    onResponseStart: (...head) => wrapped.onResponseStart?.(...head),
-    onResponseData: (...data) => wrapped.onResponseData?.(...data),
-    onResponseEnd: (...end) => wrapped.onResponseEnd?.(...end),
-    onResponseError: (...failure) => wrapped.onResponseError?.(...failure),
-  };
-}
-
 async function* streamBody(
   body: AsyncIterable<Uint8Array>,
   progress: CallProgress,
--- a/packages/ports/test/http/http_client_test.ts
+++ b/packages/ports/test/http/http_client_test.ts
@@ -111,6 +111,32 @@
     socket.write(createResponse("", 307));
   }, ["rejected", "unknown"]);
 
+  /** A part of a page passed as the whole of it. */
+  const unframed = "HTTP/1.1 200 X\r\n\r\n";
+  for (
+    const head of [unframed, unframed.replace("1.1", "1.0")]
+  ) {
+    const name = `a response of ${head.slice(0, 8)} without a length`;
+    doTest(`reports ${name} that is reset`, (socket) => {
+      socket.write(
+        `${head}{"n":1}`,
+        () => setTimeout(() => socket.resetAndDestroy(), 20),
+      );
+    }, ["reset", "ran"]);
+    doTest(
+      `reports ${name} that is reset before its last bytes are read`,
+      (socket) => {
+        socket.write(`${head}{"n":1}`, () => socket.resetAndDestroy());
+      },
+      ["reset", "ran"],
+    );
+    doTest(
+      `returns ${name} whose connection is closed`,
+      (socket) => socket.end(`${head}{"n":1}`),
+      "ok",
+    );
+  }
+
   it("never returns the response of one call to another", async () => {
     const lateResponse = createResponse('{"n":99}');
     await withClient((socket, request) => {
