Reset the connections of HTTP/1.0 callers whose responses are cut off

What callers saw: a caller of HTTP/1.0 gets no chunks, so that the end of its connection ends the response. A stream that broke off at the endpoint looked complete.

Cause: a truncated response closed the connection without a reset, whatever the version of the request.

Change: one function ends truncated responses, for hosts and for nodes; a stalled connection with an open response is reset, too.

--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -3,6 +3,7 @@
  * not run twice: another endpoint may be tried only while none has run it.
  * @module
  */
+import { abortResponse } from "@briarhill/common/http/abort_response";
 import { drainBody } from "@briarhill/common/http/body_reader";
 import { isComplete } from "@briarhill/common/http/response_completeness";
 import type { HttpResponseHead } from "@briarhill/common/http/http_exchange";
@@ -114,8 +115,7 @@
         resolve("whole");
         return;
       }
-      // A truncated response must not look complete to the caller.
-      response.destroy();
+      abortResponse(response);
       resolve("cut");
     });
   });
--- a/packages/edge/src/http/guarded_connection.ts
+++ b/packages/edge/src/http/guarded_connection.ts
@@ -134,7 +134,10 @@
 
   /** Closes the connection at once. */
   close(): void {
-    this.#socket.destroy();
+    // A response without a length that is cut off must not look complete.
+    this.#openResponses > 0
+      ? this.#socket.resetAndDestroy()
+      : this.#socket.destroy();
   }
 
   /** Ends the account of its bytes. */
--- a/packages/edge/test/calls/stream_call_test.ts
+++ b/packages/edge/test/calls/stream_call_test.ts
@@ -24,7 +24,10 @@
 /** Streams one response to a caller and returns the bytes that the caller gets, and the outcome. */
 async function streamOnce(
   script: ConnectionScript,
-): Promise<{ readonly text: string; readonly outcome: string }> {
+  version = "1.1",
+): Promise<
+  { readonly text: string; readonly isReset: boolean; readonly outcome: string }
+> {
   const endpoint = new RawEndpoint(script);
   const port = await endpoint.start();
   const { sender, clock } = createSender();
@@ -42,21 +45,28 @@
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const text = await readRaw((server.address() as AddressInfo).port);
+  const { port: callerPort } = server.address() as AddressInfo;
+  const read = await readRaw(callerPort, version);
   sender.close();
   endpoint.close();
   server.close();
-  return { text, outcome };
+  return { ...read, outcome };
 }
 
-function readRaw(port: number): Promise<string> {
+/** Returns what a caller gets, and whether its connection is reset. */
+function readRaw(
+  port: number,
+  version: string,
+): Promise<{ readonly text: string; readonly isReset: boolean }> {
   return new Promise((resolve) => {
     const socket = connect(port, "127.0.0.1");
     let text = "";
     socket.on("data", (bytes) => text += bytes);
     socket.on("error", () => undefined);
-    socket.on("close", () => resolve(text));
-    socket.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    socket.on("close", (isReset) => resolve({ text, isReset }));
+    socket.write(
+      `GET / HTTP/${version}\r\nHost: a\r\nConnection: close\r\n\r\n`,
+    );
   });
 }
 
@@ -69,12 +79,32 @@
     assert.ok(text.includes(CHUNK) && text.endsWith(LAST_CHUNK), text);
   });
 
+  it("passes a stream without a length on as complete when the endpoint closes it", async () => {
+    const { text, outcome } = await streamOnce((socket) =>
+      socket.end(`${HEAD}\r\n${EVENT}`)
+    );
+    assert.equal(outcome, "whole");
+    assert.ok(text.includes(CHUNK) && text.endsWith(LAST_CHUNK), text);
+  });
+
   /** Callers found the text of an error, or the end of a complete stream, in the middle of theirs. */
   const ends: readonly (readonly [string, ConnectionScript])[] = [
     [
       "is reset",
       (socket) => socket.write(BEGUN, () => socket.resetAndDestroy()),
     ],
+    [
+      "has no length and is reset before its last bytes are read",
+      (socket) =>
+        socket.write(
+          `${HEAD}\r\n${EVENT}`,
+          () => socket.resetAndDestroy(),
+        ),
+    ],
+    [
+      "has no length and goes on past the deadline",
+      (socket) => socket.write(`${HEAD}\r\n${EVENT}`),
+    ],
     ["is closed", (socket) => socket.end(BEGUN)],
     ["has no length and is reset", (socket) =>
       socket.write(
@@ -104,6 +134,23 @@
     });
   }
 
+  /** A caller of HTTP/1.0 gets no chunks: it took the part of a stream for the whole. */
+  it("resets the connection of a caller of HTTP/1.0 if the stream ends early, and closes it otherwise", async () => {
+    // The caller reads the event before the endpoint breaks off.
+    const cut: ConnectionScript = (socket) =>
+      socket.write(BEGUN, () => setTimeout(() => socket.destroy(), 50));
+    const whole: ConnectionScript = (socket) =>
+      socket.write(BEGUN + LAST_CHUNK);
+    for (
+      const [script, expected] of [[cut, "cut"], [whole, "whole"]] as const
+    ) {
+      const { text, isReset, outcome } = await streamOnce(script, "1.0");
+      assert.equal(outcome, expected);
+      assert.ok(text.endsWith(EVENT), text);
+      assert.equal(isReset, expected === "cut");
+    }
+  });
+
   it("never reports a head that ends early as a response", async () => {
     const whole = `${HEAD}Content-Length: 2\r\n\r\nok`;
     const bodyAt = whole.indexOf("\r\n\r\n") + 4;
--- a/packages/node/src/http/send_problem.ts
+++ b/packages/node/src/http/send_problem.ts
@@ -2,6 +2,7 @@
  * Sends errors to callers as problem+json.
  * @module
  */
+import { abortResponse } from "@briarhill/common/http/abort_response";
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import { toProblem } from "./problem.ts";
@@ -21,7 +22,7 @@
  */
 export function sendProblem(response: ServerResponse, error: unknown): void {
   if (response.headersSent) {
-    response.destroy();
+    abortResponse(response);
     return;
   }
   const problem = toProblem(error);
