Close connections that bring bytes without end beside their responses

What operators saw: a faulty server sent bytes that were no answer until the caller closed. Here the bytes were not kept, but read: blank lines before a head and the size of a chunk until the timeout of the request, bytes on an idle connection for good, as they keep it from timing out (measured: 1.3 GB in 1.5 s, with more than half of a core, from a bare server).

Cause: a response was bounded in the size of its parts and in time, not in the bytes between two parts. An idle connection had no bound at all.

Ruled out: header lines, one header line, chunk extensions and trailers, which the parser ends at 16 KiB (tests pass before and after).

Change: a guard counts the bytes of each connection since the last part of its response, and ends the request as malformed beyond 256 KiB. Any byte on an idle connection closes it; such a connection was not used again before either.

A body in chunks of one byte is still read up to its size.

--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -16,6 +16,7 @@
 import { ConnectionHistory } from "./connection_history.ts";
 import { RequestWatch } from "./request_watch.ts";
 import { followConnectionEnd } from "./response_completeness.ts";
+import { StrayByteGuard } from "./stray_byte_guard.ts";
 import type {
   HttpAddress,
   HttpRequest,
@@ -48,6 +49,7 @@
   readonly #options: HttpSenderOptions;
   readonly #agent: Agent;
   readonly #history = new ConnectionHistory();
+  readonly #strayBytes = new StrayByteGuard();
 
   constructor(options: HttpSenderOptions) {
     this.#options = options;
@@ -80,12 +82,13 @@
         // another connection.
         isRepeat
           ? outgoing.destroy()
-          : this.#history.addExchange(socket, exchange.exchangeId);
+          : this.#addExchange(socket, exchange, { outgoing, watch });
       });
       outgoing.on("response", (incoming: IncomingMessage) => {
         watch.clear();
         hasResponse = true;
         followConnectionEnd(incoming);
+        this.#strayBytes.followBody(incoming);
         resolve(this.#createHead(outgoing, incoming));
       });
       // A response that switches protocols (101) ends without an error event.
@@ -186,7 +189,10 @@
     // Without a listener, a connection reset after the head would
     // terminate the process.
     response.on("error", () => undefined);
-    response.once("end", () => this.#history.setIdle(socket));
+    response.once("end", () => {
+      this.#history.setIdle(socket);
+      this.#strayBytes.setIdle(socket);
+    });
     return {
       status: statusCode,
       headers,
@@ -196,6 +202,19 @@
     };
   }
 
+  #addExchange(
+    socket: Socket,
+    { exchangeId }: HttpRequest,
+    { outgoing, watch }: {
+      readonly outgoing: ClientRequest;
+      readonly watch: RequestWatch;
+    },
+  ): void {
+    this.#history.addExchange(socket, exchangeId);
+    this.#strayBytes.addRequest(socket, () => watch.abort("malformed"));
+    outgoing.on("information", () => this.#strayBytes.setProgress(socket));
+  }
+
   /** Returns whether the response to a request could not be told from a copy of an earlier one on this connection. */
   #isAmbiguous(socket: Socket, exchangeId: string | undefined): boolean {
     return this.#options.hasLateCopies === true &&
--- a/packages/common/src/http/request_watch.ts
+++ b/packages/common/src/http/request_watch.ts
@@ -41,11 +41,11 @@
     this.#exchange = exchange;
     this.#options = options;
     this.#connectTimer = setTimeout(
-      () => this.#abort("refused"),
+      () => this.abort("refused"),
       options.connectTimeoutMs,
     );
     this.#headTimer = setTimeout(
-      () => this.#abort("silent"),
+      () => this.abort("silent"),
       exchange.headTimeoutMs,
     );
     this.#startListening();
@@ -57,6 +57,16 @@
     clearTimeout(this.#headTimer);
   }
 
+  /**
+   * Closes the connection of the request.
+   *
+   * @param reason - The fault that the error names, unless there was one before.
+   */
+  abort(reason: PortFault): void {
+    this.#fault ??= reason;
+    this.#outgoing.destroy();
+  }
+
   /**
    * Creates the error for the failed request.
    *
@@ -77,7 +87,7 @@
 
   #startListening(): void {
     const { signal } = this.#exchange;
-    const onAbort = () => this.#abort("cancelled");
+    const onAbort = () => this.abort("cancelled");
     signal?.addEventListener("abort", onAbort, { once: true });
     this.#outgoing.on(
       "close",
@@ -85,7 +95,7 @@
     );
     this.#outgoing.on("information", () => {
       if (++this.#informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
-        this.#abort("malformed");
+        this.abort("malformed");
       }
     });
     this.#outgoing.on("socket", (socket: Socket) => {
@@ -94,7 +104,7 @@
         : this.#setConnected();
     });
     if (signal?.aborted) {
-      this.#abort("cancelled");
+      this.abort("cancelled");
     }
   }
 
@@ -102,9 +112,4 @@
     this.#isConnected = true;
     clearTimeout(this.#connectTimer);
   }
-
-  #abort(reason: PortFault): void {
-    this.#fault ??= reason;
-    this.#outgoing.destroy();
-  }
 }
