--- a/packages/common/src/errors/errors.ts
+++ b/packages/common/src/errors/errors.ts
@@ -72,6 +72,8 @@
   | "cancelled"
   | "incomplete"
   | "oversized"
+  /** The response gave way to others, as the process had no room for all of them. */
+  | "no-room"
   /** The request itself can't be sent by the protocol, whatever the server. */
   | "unsendable";
 
--- a/packages/common/src/http/body_reader.ts
+++ b/packages/common/src/http/body_reader.ts
@@ -9,6 +9,7 @@
 import { createPortError } from "../errors/port_error.ts";
 import { ByteCollector } from "./byte_collector.ts";
 import { isComplete } from "./response_completeness.ts";
+import type { ResponseMemory, ResponseReading } from "./response_memory.ts";
 
 /**
  * The largest body that is drained to reuse its connection, in bytes; a
@@ -26,6 +27,10 @@
   /** The timeout for the complete body, in milliseconds. */
   readonly timeoutMs: number;
   readonly maxBytes: number;
+  /** The account of all responses that are read. */
+  readonly memory: ResponseMemory;
+  /** Whether the body is only checked for its end, and an empty one is returned. */
+  readonly isDiscarded?: boolean;
   /** The external system, for errors. */
   readonly port: string;
   /** The operation, for errors. */
@@ -34,16 +39,18 @@
 
 /**
  * Reads the complete body of a response. If the body is truncated, exceeds the
- * timeout or is too large, closes the connection and rejects with a
- * {@link PortError} whose outcome is "unknown".
+ * timeout, is too large or gives way to other responses, closes the connection and
+ * rejects with a {@link PortError} whose outcome is "unknown".
  *
  * @example
  * ```ts
  * declare const head: import("./http_exchange.ts").HttpResponseHead;
+ * declare const memory: import("./response_memory.ts").ResponseMemory;
  *
  * const body = await readBody(head.stream, {
  *   timeoutMs: 1000,
  *   maxBytes: 1_000_000,
+ *   memory,
  *   port: "store",
  *   operation: "read",
  * });
@@ -56,30 +63,76 @@
   options: BodyReadOptions,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const { timeoutMs, maxBytes } = options;
-    const collector = new ByteCollector();
-    let fault: PortFault | undefined;
-    const abort = (reason: PortFault) => {
-      fault ??= reason;
-      collector.clear();
-      stream.destroy();
-    };
-    const timer = setTimeout(() => abort("silent"), timeoutMs);
-    stream.on("data", (chunk: Buffer) => {
-      collector.addChunk(chunk);
-      if (collector.byteCount > maxBytes) {
-        abort("oversized");
-      }
-    });
-    stream.on("close", () => {
+    new BodyReading(stream, { ...options, resolve, reject }).start();
+  });
+}
+
+interface BodyReadingOptions extends BodyReadOptions {
+  readonly resolve: (body: Buffer) => void;
+  readonly reject: (error: PortError) => void;
+}
+
+/** Reads one body. */
+class BodyReading {
+  readonly #stream: IncomingMessage;
+  readonly #options: BodyReadingOptions;
+  readonly #collector = new ByteCollector();
+  readonly #reading: ResponseReading;
+  readonly #headBytes: number;
+  #byteCount = 0;
+  #fault: PortFault | undefined;
+
+  constructor(stream: IncomingMessage, options: BodyReadingOptions) {
+    this.#stream = stream;
+    this.#options = options;
+    this.#headBytes = countBytes(stream.rawHeaders);
+    this.#reading = options.memory.openReading(() => this.#abort("no-room"));
+  }
+
+  start(): void {
+    const { timeoutMs, maxBytes } = this.#options;
+    const timer = setTimeout(() => this.#abort("silent"), timeoutMs);
+    this.#reading.setBytes(this.#headBytes);
+    if (Number(this.#stream.headers["content-length"]) > maxBytes) {
+      this.#abort("oversized");
+    }
+    this.#stream.on("data", (chunk: Buffer) => this.#addChunk(chunk));
+    this.#stream.on("close", () => {
       clearTimeout(timer);
-      if (isComplete(stream) && fault === undefined) {
-        resolve(collector.toBuffer());
-        return;
-      }
-      reject(createReadError(options, fault ?? "incomplete"));
+      this.#reading.close();
+      this.#settle();
     });
-  });
+  }
+
+  #addChunk(chunk: Buffer): void {
+    const { maxBytes, isDiscarded = false } = this.#options;
+    this.#byteCount += chunk.length;
+    if (this.#byteCount > maxBytes) {
+      this.#abort("oversized");
+    } else if (!isDiscarded && this.#fault === undefined) {
+      this.#collector.addChunk(chunk);
+      this.#reading.setBytes(this.#headBytes + this.#collector.heldBytes);
+    }
+  }
+
+  #abort(fault: PortFault): void {
+    this.#fault ??= fault;
+    this.#collector.clear();
+    this.#stream.destroy();
+  }
+
+  #settle(): void {
+    const { resolve, reject } = this.#options;
+    if (isComplete(this.#stream) && this.#fault === undefined) {
+      resolve(this.#collector.toBuffer());
+      return;
+    }
+    reject(createReadError(this.#options, this.#fault ?? "incomplete"));
+  }
+}
+
+function countBytes(texts: readonly string[]): number {
+  return texts.reduce((sum, { length }) => sum + length, 0);
 }
 
 function createReadError(
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -15,6 +15,7 @@
 import { readBody } from "./body_reader.ts";
 import { ConnectionHistory } from "./connection_history.ts";
 import { RequestWatch } from "./request_watch.ts";
+import type { ResponseMemory } from "./response_memory.ts";
 import { followConnectionEnd } from "./response_completeness.ts";
 import { StrayByteGuard } from "./stray_byte_guard.ts";
 import type {
@@ -36,6 +37,8 @@
   readonly idleTimeoutMs: number;
   /** The maximum size of a response body that {@link HttpSender.send} reads, in bytes. */
   readonly maxBodyBytes: number;
+  /** The account of the response bodies that {@link HttpSender.send} reads. */
+  readonly memory: ResponseMemory;
   /**
    * Whether servers may send a copy of a response late, in the place of the next
    * one. A request is then not sent on a connection where such a copy could be
@@ -122,6 +125,7 @@
     const body = await readBody(head.stream, {
       timeoutMs: bodyTimeoutMs,
       maxBytes: this.#options.maxBodyBytes,
+      memory: this.#options.memory,
       port: this.#options.port,
       operation: exchange.path,
     });
--- a/packages/common/test/http/byte_collector_test.ts
+++ b/packages/common/test/http/byte_collector_test.ts
@@ -9,7 +9,7 @@
 
 const CONNECTION_BUFFER_BYTES = 65_536;
 const CHUNKS = 2_000;
-const MAX_HELD_BYTES = 400 * CONNECTION_BUFFER_BYTES;
+const MAX_HELD_BYTES = 8 * CONNECTION_BUFFER_BYTES;
 
 /** The time in which V8 frees unreferenced buffers after a collection, in milliseconds, as it does so on another thread. */
 const SWEEP_MS = 50;
@@ -39,6 +39,20 @@
     assert.equal(collector.byteCount, CHUNKS);
   });
 
+  /** Chunks of one byte with long extensions held megabytes that no account counted. */
+  it("counts the buffers that its chunks are parts of, and copies the chunks before these are large", () => {
+    const collector = new ByteCollector();
+    for (let index = 0; index < CHUNKS; index++) {
+      const received = Buffer.alloc(CONNECTION_BUFFER_BYTES);
+      collector.addChunk(received.subarray(0, 1));
+      collector.addChunk(received.subarray(1, 2));
+      assert.ok(collector.heldBytes >= collector.byteCount);
+      assert.ok(collector.heldBytes < MAX_HELD_BYTES);
+    }
+    collector.clear();
+    assert.equal(collector.heldBytes, 0);
+  });
+
   it("returns all bytes in their order", () => {
     const collector = new ByteCollector();
     const bytes = Buffer.from(
--- a/packages/common/test/http/http_sender_test.ts
+++ b/packages/common/test/http/http_sender_test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { PortError } from "../../src/errors/errors.ts";
 import { HttpSender } from "../../src/http/http_sender.ts";
+import { ResponseMemory } from "../../src/http/response_memory.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
 const ANSWER = `${HEAD}Content-Length: 6\r\n\r\nanswer`;
@@ -49,6 +50,7 @@
     maxConnections: 1,
     idleTimeoutMs: 1_000,
     maxBodyBytes: 1_000,
+    memory: new ResponseMemory({ limitBytes: 1_000_000 }),
   });
   const { port } = server.address() as AddressInfo;
   const result = await sender.send({
--- a/packages/common/test/http/stray_byte_guard_test.ts
+++ b/packages/common/test/http/stray_byte_guard_test.ts
@@ -8,6 +8,7 @@
 import { describe, it } from "node:test";
 import type { PortError } from "../../src/errors/errors.ts";
 import { HttpSender } from "../../src/http/http_sender.ts";
+import { ResponseMemory } from "../../src/http/response_memory.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
 const ANSWER = `${HEAD}Content-Length: 6\r\n\r\nanswer`;
@@ -36,6 +37,7 @@
       maxConnections: 1,
       idleTimeoutMs: 60_000,
       maxBodyBytes: 1_000,
+      memory: new ResponseMemory({ limitBytes: 1_000_000 }),
     });
   }
 
--- a/packages/edge/src/calls/endpoint_failure.ts
+++ b/packages/edge/src/calls/endpoint_failure.ts
@@ -6,7 +6,7 @@
 import { createPortError } from "@briarhill/common/errors/port_error";
 import type { EndpointResponseHead } from "@briarhill/platform/ingress/endpoint_response";
 import type { EndpointOutcome } from "@briarhill/routing/endpoints/endpoint_load";
-import type { EndpointRequest } from "./endpoint_sender.ts";
+import type { EndpointRequest } from "./endpoint_request.ts";
 
 /** Faults that are expected to affect the next requests to the endpoint as well. */
 const UNREACHABLE_FAULTS: ReadonlySet<PortFault> = new Set([
--- a/packages/edge/src/calls/endpoint_sender.ts
+++ b/packages/edge/src/calls/endpoint_sender.ts
@@ -4,12 +4,10 @@
  * request must never be returned.
  * @module
  */
-import type {
-  HttpResponse,
-  HttpResponseHead,
-} from "@briarhill/common/http/http_exchange";
+import type { HttpResponse } from "@briarhill/common/http/http_exchange";
 import { readBody } from "@briarhill/common/http/body_reader";
 import { HttpSender } from "@briarhill/common/http/http_sender";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Clock } from "@briarhill/common/time/clock";
 import {
   decodeEndpointResponse,
@@ -18,6 +16,7 @@
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import type { EndpointOutcome } from "@briarhill/routing/endpoints/endpoint_load";
 import type { Buffer } from "node:buffer";
+import type { CheckedHead, EndpointRequest } from "./endpoint_request.ts";
 import {
   createForeignError,
   createMalformedError,
@@ -44,6 +43,8 @@
 
 /** Options of {@link EndpointSender}. */
 export interface EndpointSenderOptions {
+  /** The account of the responses of endpoints. */
+  readonly endpointResponses: ResponseMemory;
   readonly clock: Clock;
   readonly directory: EndpointDirectory;
   readonly limits: ObservedLimits;
@@ -52,42 +53,23 @@
   readonly maxAnswerBytes: number;
 }
 
-/** A request to one endpoint. */
-export interface EndpointRequest {
-  readonly endpoint: EndpointStructure;
-  readonly purpose: RequestPurpose;
-  /** The id that the response of the endpoint must echo. */
-  readonly attemptId: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-  /** The timeout for the head of the response, in milliseconds. */
-  readonly timeoutMs: number;
-  readonly signal: AbortSignal;
-}
-
-/** The head of a response that is known to belong to the request. */
-export interface CheckedHead {
-  readonly head: HttpResponseHead;
-  readonly answer: EndpointResponseHead;
-}
-
 /** Sends single requests to endpoints and records their outcomes in the loads of the endpoints. */
 export class EndpointSender {
   readonly #options: EndpointSenderOptions;
   readonly #watch: ExchangeWatch;
-  readonly #sender = new HttpSender({
-    port: "endpoint",
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    maxConnections: MAX_CONNECTIONS,
-    idleTimeoutMs: IDLE_TIMEOUT_MS,
-    maxBodyBytes: MAX_CONTROL_BYTES,
-    hasLateCopies: true,
-  });
+  readonly #sender: HttpSender;
 
   constructor(options: EndpointSenderOptions) {
     this.#options = options;
+    this.#sender = new HttpSender({
+      port: "endpoint",
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      maxConnections: MAX_CONNECTIONS,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      maxBodyBytes: MAX_CONTROL_BYTES,
+      hasLateCopies: true,
+      memory: options.endpointResponses,
+    });
     this.#watch = new ExchangeWatch(options);
     options.directory.endpointPicker.setIdleCounter(({ address }) =>
       this.#sender.countIdle(address)
@@ -117,6 +99,9 @@
       const body = await readBody(head.stream, {
         timeoutMs: request.timeoutMs,
         maxBytes: this.#options.maxAnswerBytes,
+        memory: this.#options.endpointResponses,
+        // A score is the signature in the head.
+        isDiscarded: request.purpose === "scoring",
         port: "endpoint",
         operation: request.path,
       });
--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -12,7 +12,8 @@
 import type { Logger } from "@briarhill/common/logging/logger";
 import { encodeRelayedHeaders } from "@briarhill/platform/ingress/request_head";
 import type { ServerResponse } from "node:http";
-import type { EndpointRequest, EndpointSender } from "./endpoint_sender.ts";
+import type { EndpointRequest } from "./endpoint_request.ts";
+import type { EndpointSender } from "./endpoint_sender.ts";
 
 /** The outcome of a relayed response. */
 export type StreamOutcome = "whole" | "cut" | "not-run" | "unknown";
--- a/packages/edge/src/crashes/guarded_send.ts
+++ b/packages/edge/src/crashes/guarded_send.ts
@@ -4,10 +4,8 @@
  */
 import type { AttemptAnswer } from "../calls/call_outcome.ts";
 import { isLost } from "../calls/endpoint_failure.ts";
-import type {
-  EndpointRequest,
-  EndpointSender,
-} from "../calls/endpoint_sender.ts";
+import type { EndpointRequest } from "../calls/endpoint_request.ts";
+import type { EndpointSender } from "../calls/endpoint_sender.ts";
 import type { CrashGuard, GuardedRequest } from "./crash_guard.ts";
 
 /** Options of {@link sendGuarded}. */
--- a/packages/edge/src/duties/duty_caller.ts
+++ b/packages/edge/src/duties/duty_caller.ts
@@ -6,6 +6,7 @@
  */
 import { BriarhillError } from "@briarhill/common/errors/errors";
 import { HttpSender } from "@briarhill/common/http/http_sender";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
 import {
@@ -33,6 +34,8 @@
 
 /** Options of {@link DutyCaller}. */
 export interface DutyCallerOptions {
+  /** The account of the responses of the platform. */
+  readonly internalResponses: ResponseMemory;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: HostMetrics;
@@ -45,18 +48,20 @@
 /** Calls the platform's API while this host holds the lease. */
 export class DutyCaller {
   readonly #options: DutyCallerOptions;
-  readonly #sender = new HttpSender({
-    port: "cloud",
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    // Calls of one duty are made one after the other.
-    maxConnections: 2,
-    idleTimeoutMs: IDLE_TIMEOUT_MS,
-    maxBodyBytes: MAX_BODY_BYTES,
-  });
+  readonly #sender: HttpSender;
   #nextCallMs = -Infinity;
 
   constructor(options: DutyCallerOptions) {
     this.#options = options;
+    this.#sender = new HttpSender({
+      port: "cloud",
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      // Calls of one duty are made one after the other.
+      maxConnections: 2,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      maxBodyBytes: MAX_BODY_BYTES,
+      memory: options.internalResponses,
+    });
   }
 
   /**
--- a/packages/edge/src/limits/permit_client.ts
+++ b/packages/edge/src/limits/permit_client.ts
@@ -5,6 +5,7 @@
  */
 import { BriarhillError } from "@briarhill/common/errors/errors";
 import { HttpSender } from "@briarhill/common/http/http_sender";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
@@ -35,6 +36,8 @@
 
 /** Options of {@link PermitClient}. */
 export interface PermitClientOptions {
+  /** The account of the responses of other hosts. */
+  readonly internalResponses: ResponseMemory;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly peers: PeerList;
@@ -46,16 +49,18 @@
 /** Calls the owners of permits. */
 export class PermitClient {
   readonly #options: PermitClientOptions;
-  readonly #sender = new HttpSender({
-    port: "peer",
-    connectTimeoutMs: REPLY_TIMEOUT_MS,
-    maxConnections: MAX_CONNECTIONS,
-    idleTimeoutMs: IDLE_TIMEOUT_MS,
-    maxBodyBytes: MAX_REPLY_BYTES,
-  });
+  readonly #sender: HttpSender;
 
   constructor(options: PermitClientOptions) {
     this.#options = options;
+    this.#sender = new HttpSender({
+      port: "peer",
+      connectTimeoutMs: REPLY_TIMEOUT_MS,
+      maxConnections: MAX_CONNECTIONS,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      maxBodyBytes: MAX_REPLY_BYTES,
+      memory: options.internalResponses,
+    });
   }
 
   /**
--- a/packages/edge/src/limits/permit_owner.ts
+++ b/packages/edge/src/limits/permit_owner.ts
@@ -7,6 +7,7 @@
 import type { EndpointId } from "@briarhill/common/ids/ids";
 import { InputError } from "@briarhill/common/errors/errors";
 import { readBody } from "@briarhill/common/http/body_reader";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
 import { Buffer } from "node:buffer";
@@ -36,6 +37,8 @@
 
 /** Options of {@link PermitOwner}. */
 export interface PermitOwnerOptions {
+  /** The account of the messages of other hosts. */
+  readonly internalResponses: ResponseMemory;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: HostMetrics;
@@ -106,6 +109,7 @@
       const body = await readBody(request, {
         timeoutMs: BODY_TIMEOUT_MS,
         maxBytes: MAX_BODY_BYTES,
+        memory: this.#options.internalResponses,
         port: "peer",
         operation: "permit",
       });
--- a/packages/edge/src/lots/generation_reader.ts
+++ b/packages/edge/src/lots/generation_reader.ts
@@ -22,6 +22,7 @@
 const OVERDUE_MS = 1_000;
 /** The maximum size of one response, in bytes: a text of maximum length and the lines around its events. */
 const MAX_STREAM_BYTES = 16_777_216;
+const BYTES_PER_CHARACTER = 2;
 
 /** Options of a `GenerationReader`. */
 export interface GenerationReaderOptions {
@@ -34,6 +35,8 @@
   readonly signal: AbortSignal;
   /** Called with the number of events that have arrived together. */
   readonly onEvents?: (count: number) => void;
+  /** Called with the bytes that are kept of the sample, whenever bytes have arrived. */
+  readonly onHeldBytes?: (bytes: number) => void;
 }
 
 /** Adds the events of one attempt to its task. Events received before the stream breaks are retained. */
@@ -81,7 +84,7 @@
 
   /** Returns the version of the weights after the last event. */
   #addBytes(bytes: Buffer, headVersion: number): number {
-    const { task, lot, clock, onEvents } = this.#options;
+    const { task, lot, clock, onEvents, onHeldBytes } = this.#options;
     const eventCount = task.eventCount;
     let version = headVersion;
     for (const event of this.#decodeEvents(bytes)) {
@@ -97,6 +100,8 @@
       }
     }
     onEvents?.(task.eventCount - eventCount);
+    const { bufferedCharacters } = this.#decoder;
+    onHeldBytes?.(task.heldBytes + BYTES_PER_CHARACTER * bufferedCharacters);
     return version;
   }
 
--- a/packages/edge/src/lots/generation_report.ts
+++ b/packages/edge/src/lots/generation_report.ts
@@ -37,6 +37,7 @@
   "gap",
   "oversized",
   "overdue",
+  "no-room",
 ]);
 
 /**
--- a/packages/edge/src/lots/lot_call_forwarder.ts
+++ b/packages/edge/src/lots/lot_call_forwarder.ts
@@ -10,6 +10,7 @@
 import { PortError } from "@briarhill/common/errors/errors";
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import { HttpSender } from "@briarhill/common/http/http_sender";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Logger } from "@briarhill/common/logging/logger";
 import { encodeRelayedHeaders } from "@briarhill/platform/ingress/request_head";
 import { writeReply } from "../calls/caller_reply.ts";
@@ -32,6 +33,8 @@
 
 /** Options of `LotCallForwarder`. */
 export interface LotCallForwarderOptions {
+  /** The account of the responses of other hosts. */
+  readonly internalResponses: ResponseMemory;
   readonly logger: Logger;
   readonly peers: PeerList;
   readonly partitions: LotPartitions;
@@ -40,16 +43,18 @@
 /** Forwards calls to the hosts that hold their lots in memory. */
 export class LotCallForwarder {
   readonly #options: LotCallForwarderOptions;
-  readonly #sender = new HttpSender({
-    port: "peer",
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    maxConnections: MAX_CONNECTIONS,
-    idleTimeoutMs: IDLE_TIMEOUT_MS,
-    maxBodyBytes: MAX_RESPONSE_BYTES,
-  });
+  readonly #sender: HttpSender;
 
   constructor(options: LotCallForwarderOptions) {
     this.#options = options;
+    this.#sender = new HttpSender({
+      port: "peer",
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      maxConnections: MAX_CONNECTIONS,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      maxBodyBytes: MAX_RESPONSE_BYTES,
+      memory: options.internalResponses,
+    });
   }
 
   /**
--- a/packages/edge/src/lots/lot_claims.ts
+++ b/packages/edge/src/lots/lot_claims.ts
@@ -5,6 +5,7 @@
  */
 import { PortError } from "@briarhill/common/errors/errors";
 import { HttpSender } from "@briarhill/common/http/http_sender";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { SharedLog } from "@briarhill/common/log/shared_log";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
@@ -32,6 +33,8 @@
 
 /** Options of `LotClaims`. */
 export interface LotClaimsOptions {
+  /** The account of the responses of other hosts. */
+  readonly internalResponses: ResponseMemory;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly log: SharedLog;
@@ -51,16 +54,18 @@
 export class LotClaims {
   readonly #options: LotClaimsOptions;
   readonly #statuses = new Map<string, ClaimStatus>();
-  readonly #sender = new HttpSender({
-    port: "peer",
-    connectTimeoutMs: RESPONSE_TIMEOUT_MS,
-    maxConnections: MAX_CONNECTIONS,
-    idleTimeoutMs: IDLE_TIMEOUT_MS,
-    maxBodyBytes: MAX_RESPONSE_BYTES,
-  });
+  readonly #sender: HttpSender;
 
   constructor(options: LotClaimsOptions) {
     this.#options = options;
+    this.#sender = new HttpSender({
+      port: "peer",
+      connectTimeoutMs: RESPONSE_TIMEOUT_MS,
+      maxConnections: MAX_CONNECTIONS,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      maxBodyBytes: MAX_RESPONSE_BYTES,
+      memory: options.internalResponses,
+    });
   }
 
   /**
--- a/packages/edge/src/lots/running_samples.ts
+++ b/packages/edge/src/lots/running_samples.ts
@@ -2,6 +2,7 @@
  * Runs the samples of a lot on engines and moves stragglers to faster engines.
  * @module
  */
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
 import { AttemptPace } from "@briarhill/rollout/dispatch/attempt_pace";
@@ -16,6 +17,8 @@
 import type { HostMetrics } from "../observe/host_metrics.ts";
 import type { EnginePicker } from "./engine_picker.ts";
 import type { GenerationReport } from "./generation_report.ts";
+import { KeptEvents } from "./kept_events.ts";
+import type { SampleAttempt } from "./sample_attempt.ts";
 import { runGeneration } from "./sample_generation.ts";
 
 /** Interval between checks for stragglers, in milliseconds; about three events. */
@@ -35,19 +38,8 @@
   readonly admission: EndpointAdmission;
   readonly metrics: HostMetrics;
   readonly incarnations: IncarnationCheck;
-}
-
-/** One attempt at a sample on one engine. */
-interface SampleAttempt {
-  readonly task: SampleTask;
-  readonly endpoint: EndpointStructure;
-  readonly startedAtMs: number;
-  readonly pace: AttemptPace;
-  /** Number of events that the sample had before this attempt. */
-  readonly initialEvents: number;
-  /** Number of moves of the sample before this attempt. */
-  readonly moves: number;
-  readonly abort: AbortController;
+  /** The account of the responses of endpoints. */
+  readonly endpointResponses: ResponseMemory;
 }
 
 /** Runs the samples of a lot on engines; a sample has at most one attempt at a time. */
@@ -57,12 +49,18 @@
   readonly #attempts = new Map<string, SampleAttempt>();
   /** The engine on which each aborted sample continues. */
   readonly #targets = new Map<string, EndpointStructure>();
+  readonly #kept: KeptEvents;
   #isStopped = false;
   #nextCheckAtMs = 0;
 
   constructor(options: RunningSamplesOptions, lot: LedgerLot) {
     this.#options = options;
     this.#lot = lot;
+    this.#kept = new KeptEvents({
+      ...options,
+      lot: lot.id,
+      abortAttempt: (sample) => this.abortAttempt(sample),
+    });
   }
 
   /**
@@ -117,18 +115,21 @@
   }
 
   /**
-   * Aborts the running attempt of a sample, if there is one.
+   * Aborts the running attempt of a sample, and returns whether there is one.
    *
    * @param sample - The sample's id.
    */
-  abortAttempt(sample: string): void {
-    this.#attempts.get(sample)?.abort.abort();
+  abortAttempt(sample: string): boolean {
+    const attempt = this.#attempts.get(sample);
+    attempt?.abort.abort();
+    return attempt !== undefined;
   }
 
   /** Aborts all attempts and allows no further moves. */
   abortAll(): void {
     this.#isStopped = true;
     this.#attempts.forEach(({ abort }) => abort.abort());
+    this.#kept.close();
   }
 
   async #runAttempt(
@@ -144,10 +145,12 @@
       abort: new AbortController(),
     };
     this.#attempts.set(task.request.id, attempt);
-    const report = await this.#generate(attempt).catch((error: unknown) =>
+    this.#kept.setBytes(task, task.heldBytes);
+    const ended = await this.#generate(attempt).catch((error: unknown) =>
       this.#createFaultReport(attempt, error)
     );
     this.#attempts.delete(task.request.id);
+    const report = this.#kept.settleAttempt(task, ended);
     this.#recordAttempt(attempt, report);
     return report;
   }
@@ -175,6 +178,7 @@
       deadlineMs: ATTEMPT_TIMEOUT_MS,
       signal: abort.signal,
       onEvents: (count) => pace.addEvents(count, clock.getMonotonicMs()),
+      onHeldBytes: (bytes) => this.#kept.setBytes(task, bytes),
     });
   }
 
--- a/packages/edge/src/lots/sample_generation.ts
+++ b/packages/edge/src/lots/sample_generation.ts
@@ -9,7 +9,8 @@
 import type { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
 import type { LotRequest } from "@briarhill/rollout/ledger/lot_request";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
-import type { CheckedHead, EndpointSender } from "../calls/endpoint_sender.ts";
+import type { CheckedHead } from "../calls/endpoint_request.ts";
+import type { EndpointSender } from "../calls/endpoint_sender.ts";
 import type { GenerationReport } from "./generation_report.ts";
 import { EVENT_TIMEOUT_MS, GenerationReader } from "./generation_reader.ts";
 
@@ -25,6 +26,8 @@
   readonly signal: AbortSignal;
   /** Called with the number of events that have arrived together. */
   readonly onEvents?: (count: number) => void;
+  /** Called with the bytes that are kept of the sample, whenever bytes have arrived. */
+  readonly onHeldBytes?: (bytes: number) => void;
 }
 
 /**
--- a/packages/edge/src/node/create_host_context.ts
+++ b/packages/edge/src/node/create_host_context.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { hashText } from "@briarhill/common/hashing/rendezvous";
+import { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Logger } from "@briarhill/common/logging/logger";
 import { SeededRandom } from "@briarhill/common/random/seeded_random";
 import { SteadyClock } from "@briarhill/common/time/steady_clock";
@@ -18,6 +19,8 @@
 import type { HostContext } from "./host_context.ts";
 
 const INCARNATION_BYTES = 4;
+/** Responses of each of the two kinds may take at most the host's memory divided by this. */
+const RESPONSE_MEMORY_DIVISOR = 8;
 
 /**
  * Creates the dependencies that all components of a host share. The process gets a
@@ -40,14 +43,25 @@
   const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
   const processId = `${settings.ip}/${incarnation}`;
   const clock = new SystemClock();
+  const metrics = new HostMetrics();
+  const createMemory = (kind: string) =>
+    new ResponseMemory({
+      limitBytes: settings.memoryBytes / RESPONSE_MEMORY_DIVISOR,
+      onDropped: (bytes) => {
+        metrics.addDroppedResponse(kind);
+        logger.warn("response-dropped", { kind, bytes });
+      },
+    });
   const memory = new HostMemory({ clock, memoryBytes: settings.memoryBytes });
   return {
     settings,
     logger,
     clock,
     random: new SeededRandom(hashText(processId)),
-    metrics: new HostMetrics(),
+    metrics,
     memory,
+    endpointResponses: createMemory("endpoint"),
+    internalResponses: createMemory("internal"),
     connectionLimits: computeConnectionLimits(settings),
     guard: new ConnectionGuard({ clock, logger, memory }, INITIAL_LIMITS),
     usage: new UsageMeter({
--- a/packages/edge/src/node/entry_host.ts
+++ b/packages/edge/src/node/entry_host.ts
@@ -81,7 +81,7 @@
       ...this.#serving,
     });
     this.#lotCallForwarder = new LotCallForwarder({
-      logger,
+      ...context,
       peers: this.#store.peers,
       partitions: this.#training.partitions,
     });
--- a/packages/edge/src/node/host_context.ts
+++ b/packages/edge/src/node/host_context.ts
@@ -2,6 +2,7 @@
  * Dependencies that all components of a host share.
  * @module
  */
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { SeededRandom } from "@briarhill/common/random/seeded_random";
 import type { Clock } from "@briarhill/common/time/clock";
@@ -19,7 +20,12 @@
   readonly logger: Logger;
   readonly random: SeededRandom;
   readonly metrics: HostMetrics;
+  /** The bytes that are held for callers. */
   readonly memory: HostMemory;
+  /** The bytes of responses of endpoints, and of what they have generated of unfinished samples. */
+  readonly endpointResponses: ResponseMemory;
+  /** The bytes of responses of the store, the platform and other hosts. */
+  readonly internalResponses: ResponseMemory;
   readonly guard: ConnectionGuard;
   readonly connectionLimits: ConnectionLimits;
   /** Counts the requests of workspaces. */
--- a/packages/edge/src/node/serving_components.ts
+++ b/packages/edge/src/node/serving_components.ts
@@ -183,7 +183,7 @@
 ): EndpointSender {
   return new EndpointSender({
     ...options,
-    clock: context.clock,
+    ...context,
     maxAnswerBytes: getMaxAnswerBytes(context),
   });
 }
--- a/packages/edge/src/node/store_access.ts
+++ b/packages/edge/src/node/store_access.ts
@@ -30,11 +30,10 @@
  * @param context - The dependencies that all components share.
  */
 export function createStoreAccess(context: HostContext): StoreAccess {
-  const { settings, clock, logger } = context;
+  const { settings } = context;
   const transport: RelayedTransport = new RelayedTransport({
+    ...context,
     store: settings.store,
-    clock,
-    logger,
     listPeers: () => peers.listPeers(),
   });
   const log = new StoreLog(transport);
--- a/packages/edge/src/observe/host_metrics.ts
+++ b/packages/edge/src/observe/host_metrics.ts
@@ -183,6 +183,15 @@
     this.#counters.addOne("stream_placements_total", outcome);
   }
 
+  /**
+   * Counts a response that gave way to others, as the host had no room for all of them.
+   *
+   * @param kind - "endpoint" or "internal".
+   */
+  addDroppedResponse(kind: string): void {
+    this.#counters.addOne("responses_dropped_total", kind);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   formatAll(): string {
     return this.#counters.formatCounters() +
--- a/packages/edge/src/peers/relayed_transport.ts
+++ b/packages/edge/src/peers/relayed_transport.ts
@@ -13,6 +13,7 @@
   HttpResponse,
 } from "@briarhill/common/http/http_exchange";
 import { HttpSender } from "@briarhill/common/http/http_sender";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
 import { LOG_OWNERS_PATH } from "@briarhill/platform/names/paths";
@@ -41,6 +42,8 @@
 
 /** Options of {@link RelayedTransport}. */
 export interface RelayedTransportOptions {
+  /** The account of the responses of the store and of other hosts. */
+  readonly internalResponses: ResponseMemory;
   readonly store: HttpAddress;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -51,19 +54,21 @@
 /** Sends calls to the store directly or through another host. */
 export class RelayedTransport extends StoreTransport {
   readonly #options: RelayedTransportOptions;
-  readonly #sender = new HttpSender({
-    port: "store",
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    maxConnections: MAX_CONNECTIONS,
-    idleTimeoutMs: IDLE_TIMEOUT_MS,
-    maxBodyBytes: MAX_ANSWER_BYTES,
-  });
+  readonly #sender: HttpSender;
   #isStoreUnavailable = false;
   #retryDirectAtMs = 0;
 
   constructor(options: RelayedTransportOptions) {
     super();
     this.#options = options;
+    this.#sender = new HttpSender({
+      port: "store",
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      maxConnections: MAX_CONNECTIONS,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      maxBodyBytes: MAX_ANSWER_BYTES,
+      memory: options.internalResponses,
+    });
   }
 
   /** Whether the store is assumed to be reachable directly: false after a failed or rejected direct call. */
--- a/packages/edge/src/reach/call_relay.ts
+++ b/packages/edge/src/reach/call_relay.ts
@@ -12,6 +12,7 @@
   HttpResponseHead,
 } from "@briarhill/common/http/http_exchange";
 import { HttpSender } from "@briarhill/common/http/http_sender";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import { PortError } from "@briarhill/common/errors/errors";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { Clock } from "@briarhill/common/time/clock";
@@ -50,6 +51,8 @@
 
 /** Options of {@link CallRelay}. */
 export interface CallRelayOptions {
+  /** The account of the responses of endpoints. */
+  readonly endpointResponses: ResponseMemory;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: HostMetrics;
@@ -73,6 +76,7 @@
       maxConnections: MAX_CONNECTIONS,
       idleTimeoutMs: IDLE_TIMEOUT_MS,
       maxBodyBytes: options.maxAnswerBytes,
+      memory: options.endpointResponses,
     });
   }
 
@@ -96,6 +100,7 @@
       const body = await readBody(response.stream, {
         timeoutMs: Math.max(1, this.#getRemainingMs(request)),
         maxBytes: this.#options.maxAnswerBytes,
+        memory: this.#options.endpointResponses,
         port: "peer",
         operation: "relay",
       });
--- a/packages/edge/src/reach/reach_query.ts
+++ b/packages/edge/src/reach/reach_query.ts
@@ -5,6 +5,7 @@
  */
 import { PortError } from "@briarhill/common/errors/errors";
 import { HttpSender } from "@briarhill/common/http/http_sender";
+import type { ResponseMemory } from "@briarhill/common/http/response_memory";
 import type { Logger } from "@briarhill/common/logging/logger";
 import type { IncomingMessage, ServerResponse } from "node:http";
 
@@ -20,6 +21,8 @@
 
 /** Options of {@link ReachQuery}. */
 export interface ReachQueryOptions {
+  /** The account of the responses of other hosts. */
+  readonly internalResponses: ResponseMemory;
   readonly logger: Logger;
   /** The port on which hosts listen for calls of other hosts. */
   readonly peerPort: number;
@@ -30,16 +33,18 @@
 /** Asks other hosts whether they reach a service. */
 export class ReachQuery {
   readonly #options: ReachQueryOptions;
-  readonly #sender = new HttpSender({
-    port: "peer",
-    connectTimeoutMs: QUERY_TIMEOUT_MS,
-    maxConnections: MAX_CONNECTIONS,
-    idleTimeoutMs: IDLE_TIMEOUT_MS,
-    maxBodyBytes: MAX_REPLY_BYTES,
-  });
+  readonly #sender: HttpSender;
 
   constructor(options: ReachQueryOptions) {
     this.#options = options;
+    this.#sender = new HttpSender({
+      port: "peer",
+      connectTimeoutMs: QUERY_TIMEOUT_MS,
+      maxConnections: MAX_CONNECTIONS,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      maxBodyBytes: MAX_REPLY_BYTES,
+      memory: options.internalResponses,
+    });
   }
 
   /**
--- a/packages/edge/test/calls/endpoint_sender_test.ts
+++ b/packages/edge/test/calls/endpoint_sender_test.ts
@@ -8,6 +8,7 @@
   createEndlessScript,
   RawEndpoint,
 } from "./raw_endpoint.ts";
+import { CHUNK, FAULTY_RESPONSES } from "./faulty_responses.ts";
 import {
   createEndpoint,
   createRawResponse,
@@ -16,6 +17,7 @@
   DUPLICATE_DELAY_MS,
   HEAD,
   MAX_ANSWER_BYTES,
+  MAX_RESPONSE_BYTES,
   REFUSED,
   sendTwice,
   SLACK_MS,
@@ -26,7 +28,6 @@
 
 /** The bytes that the two kernel buffers of a loopback connection may hold in addition. */
 const SOCKET_BUFFER_BYTES = 24 * 1_048_576;
-const CHUNK = "x".repeat(65_536);
 
 /** Sends one request and returns its error, its duration, and the connections and bytes that it took. */
 async function sendOnce(script: ConnectionScript) {
@@ -47,91 +48,7 @@
 }
 
 describe("EndpointSender.send", () => {
-  const cases: readonly (readonly [string, string, ConnectionScript])[] = [
-    [
-      "a head with endless header lines",
-      "reset",
-      createEndlessScript("HTTP/1.1 200 OK\r\n", {
-        piece: "X-A: b\r\n".repeat(999),
-      }),
-    ],
-    [
-      "an endless line in the head",
-      "reset",
-      createEndlessScript("HTTP/1.1 200 OK\r\nX-A: ", { piece: CHUNK }),
-    ],
-    [
-      "a head that arrives byte by byte with pauses",
-      "silent",
-      createEndlessScript("HTTP/1.1 200 OK\r\nX-A: ", {
-        piece: "x",
-        pauseMs: 20,
-      }),
-    ],
-    [
-      "an endless body without a Content-Length",
-      "oversized",
-      createEndlessScript(`${HEAD}\r\n`, { piece: CHUNK }),
-    ],
-    [
-      "an endless body with a Content-Length",
-      "oversized",
-      createEndlessScript(`${HEAD}Content-Length: 9999999999\r\n\r\n`, {
-        piece: CHUNK,
-      }),
-    ],
-    [
-      "an endless body in chunks",
-      "oversized",
-      createEndlessScript(`${HEAD}Transfer-Encoding: chunked\r\n\r\n`, {
-        piece: `10000\r\n${CHUNK}\r\n`,
-      }),
-    ],
-    [
-      "a body that arrives byte by byte with pauses",
-      "silent",
-      createEndlessScript(`${HEAD}\r\n`, { piece: "x", pauseMs: 20 }),
-    ],
-    [
-      "an endless chunk extension",
-      "incomplete",
-      createEndlessScript(`${HEAD}Transfer-Encoding: chunked\r\n\r\n1;a=`, {
-        piece: CHUNK,
-      }),
-    ],
-    [
-      "endless trailers",
-      "incomplete",
-      createEndlessScript(`${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`, {
-        piece: "X-A: b\r\n".repeat(999),
-      }),
-    ],
-    [
-      "bytes that are not an HTTP response",
-      "reset",
-      createEndlessScript("", { piece: CHUNK }),
-    ],
-    [
-      "an endless rejection",
-      "oversized",
-      createEndlessScript(
-        `${
-          HEAD.replace("200 OK", "503 Full")
-        }X-Briarhill-Not-Executed: 1\r\n\r\n`,
-        { piece: CHUNK },
-      ),
-    ],
-    [
-      "a successful response without a signature",
-      "malformed",
-      (socket) =>
-        socket.write(
-          "HTTP/1.1 200 OK\r\nX-Briarhill-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n",
-        ),
-    ],
-  ];
-
-  for (const [name, fault, script] of cases) {
+  for (const [name, fault, script] of FAULTY_RESPONSES) {
     it(`fails and closes the connection within the timeout on ${name}`, async () => {
       const { error, durationMs, closed, sentBytes } = await sendOnce(script);
       assert.ok(error instanceof PortError, String(error));
@@ -204,3 +121,63 @@
     assert.equal(second, "200 body 1");
   });
 });
+
+describe("EndpointSender.send to endpoints that answer many requests without end", () => {
+  const REQUESTS = 30;
+  const PAUSE_MS = 5;
+
+  /** Thirty responses below the limit of each filled the memory of a host together. */
+  it("keeps all responses below their common limit, and returns sound ones beside them", async () => {
+    const faulty = new RawEndpoint(
+      createEndlessScript(`${HEAD}\r\n`, { piece: CHUNK, pauseMs: PAUSE_MS }),
+    );
+    const sound = new RawEndpoint((socket) =>
+      socket.write(createRawResponse("a", "sound"))
+    );
+    const endpoint = createEndpoint(await faulty.start());
+    const soundEndpoint = {
+      ...createEndpoint(await sound.start()),
+      id: "sound",
+    };
+    const { sender, endpointResponses } = createSender();
+    let maxBytes = 0;
+    const timer = setInterval(() => {
+      maxBytes = Math.max(maxBytes, endpointResponses.usedBytes);
+    }, 1);
+    const faults = await Promise.all(
+      Array.from(
+        { length: REQUESTS },
+        () =>
+          sender.send(createRequest(endpoint)).then(
+            () => "none",
+            ({ fault }: PortError) => fault,
+          ),
+      ),
+    );
+    const { httpAnswer } = await sender.send(createRequest(soundEndpoint));
+    clearInterval(timer);
+    sender.close();
+    [faulty, sound].forEach((server) => server.close());
+    assert.equal(httpAnswer.body.toString(), "sound");
+    assert.ok(faults.includes("no-room"), `${faults}`);
+    assert.ok(!faults.includes("none"), `${faults}`);
+    assert.ok(maxBytes <= MAX_RESPONSE_BYTES, `${maxBytes} bytes`);
+    assert.equal(endpointResponses.usedBytes, 0);
+  });
+
+  it("keeps nothing of the body of a score", async () => {
+    const server = new RawEndpoint((socket) =>
+      socket.write(createRawResponse("a", "x".repeat(100_000)))
+    );
+    const endpoint = createEndpoint(await server.start());
+    const { sender } = createSender();
+    const { httpAnswer } = await sender.send({
+      ...createRequest(endpoint),
+      purpose: "scoring",
+    });
+    sender.close();
+    server.close();
+    assert.equal(httpAnswer.status, 200);
+    assert.equal(httpAnswer.body.length, 0);
+  });
+});
--- a/packages/edge/test/calls/sender_fixture.ts
+++ b/packages/edge/test/calls/sender_fixture.ts
@@ -1,12 +1,11 @@
+import { ResponseMemory } from "@briarhill/common/http/response_memory";
 import { Logger } from "@briarhill/common/logging/logger";
 import { SeededRandom } from "@briarhill/common/random/seeded_random";
 import { SystemClock } from "@briarhill/common/time/system_clock";
 import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import { Buffer } from "node:buffer";
-import {
-  type EndpointRequest,
-  EndpointSender,
-} from "../../src/calls/endpoint_sender.ts";
+import type { EndpointRequest } from "../../src/calls/endpoint_request.ts";
+import { EndpointSender } from "../../src/calls/endpoint_sender.ts";
 import { EndpointDirectory } from "../../src/endpoints/endpoint_directory.ts";
 import { ObservedLimits } from "../../src/limits/observed_limits.ts";
 import { HostMetrics } from "../../src/observe/host_metrics.ts";
@@ -14,6 +13,8 @@
 import { type ConnectionScript, RawEndpoint } from "./raw_endpoint.ts";
 
 export const MAX_ANSWER_BYTES = 1_048_576;
+/** The limit of all responses together, in bytes. */
+export const MAX_RESPONSE_BYTES = 8_388_608;
 export const TIMEOUT_MS = 600;
 /** Tolerance for late timers and the closing of a connection on a busy machine. */
 export const SLACK_MS = 1_500;
@@ -48,14 +49,18 @@
     getHealthPath: () => "/",
     onChange: () => undefined,
   });
+  const endpointResponses = new ResponseMemory({
+    limitBytes: MAX_RESPONSE_BYTES,
+  });
   const sender = new EndpointSender({
+    endpointResponses,
     clock,
     directory,
     limits,
     reach,
     maxAnswerBytes: MAX_ANSWER_BYTES,
   });
-  return { clock, directory, limits, reach, sender };
+  return { clock, directory, limits, reach, endpointResponses, sender };
 }
 
 export function createEndpoint(port: number): EndpointStructure {
--- a/packages/edge/test/duties/duty_caller_test.ts
+++ b/packages/edge/test/duties/duty_caller_test.ts
@@ -1,3 +1,4 @@
+import { ResponseMemory } from "@briarhill/common/http/response_memory";
 import { Logger } from "@briarhill/common/logging/logger";
 import { SystemClock } from "@briarhill/common/time/system_clock";
 import { encodeUsage } from "@briarhill/platform/cloud/duty_calls";
@@ -33,6 +34,7 @@
     let left = allowedCalls;
     const { port } = server.address() as AddressInfo;
     return new DutyCaller({
+      internalResponses: new ResponseMemory({ limitBytes: 1_000_000 }),
       clock: new SystemClock(),
       logger: Logger.create({}),
       metrics: new HostMetrics(),
--- a/packages/edge/test/node/crowds.ts
+++ b/packages/edge/test/node/crowds.ts
@@ -1,8 +1,13 @@
 import type { PlatformStandIn } from "@briarhill/fakes/platform/platform_stand_in";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Crowd } from "./crowd.ts";
 import { ECHO, PROBE, READ, RESULTS, SCRAPE, STREAM } from "./crowd_texts.ts";
 import { createLargeLot } from "./large_lot.ts";
 
+/** The time for which endpoints send without end, in milliseconds. */
+const ENDLESS_MS = 5_000;
+const ENDLESS_PIECE = "x".repeat(60_000);
+
 /** Lists what crowds send to the first host of a platform. */
 export function listCrowds(
   platform: PlatformStandIn,
@@ -61,7 +66,29 @@
     ]);
   }
 
+  /** Endpoints answer calls, scores and samples without end for some seconds. */
+  async function sendToFaultyEndpoints(crowd: Crowd): Promise<void> {
+    platform.services.forEach((service) =>
+      service.endless = { format: () => ENDLESS_PIECE, pauseMs: 20 }
+    );
+    platform.engines.forEach((engine) =>
+      engine.endless = {
+        format: (id) => `id: ${id}\ndata: ${ENDLESS_PIECE}\n\n`,
+        pauseMs: 20,
+      }
+    );
+    await Promise.all([
+      crowd.sendAhead({ ...callers, count: 120, text: READ, times: 1 }),
+      platform.sendLot(0, "endless", 120),
+    ]);
+    await sleep(ENDLESS_MS);
+    [...platform.services, ...platform.engines].forEach((endpoint) =>
+      endpoint.endless = undefined
+    );
+  }
+
   return [
+    ["responses of endpoints without end", sendToFaultyEndpoints],
     ["many whole bodies", (crowd) => {
       delayServices();
       return crowd.sendBodies({ ...callers, count: 12, path });
--- a/packages/edge/test/peers/relayed_transport_test.ts
+++ b/packages/edge/test/peers/relayed_transport_test.ts
@@ -1,3 +1,4 @@
+import { ResponseMemory } from "@briarhill/common/http/response_memory";
 import { Logger, setLogWriter } from "@briarhill/common/logging/logger";
 import { SystemClock } from "@briarhill/common/time/system_clock";
 import assert from "node:assert/strict";
@@ -38,6 +39,7 @@
     });
     const peer = await startServer((_, response) => response.end("peer"));
     const transport = new RelayedTransport({
+      internalResponses: new ResponseMemory({ limitBytes: 1_000_000 }),
       store: getAddress(store),
       clock: new SystemClock(),
       logger: Logger.create({}),
@@ -84,6 +86,7 @@
       );
     });
     const transport = new RelayedTransport({
+      internalResponses: new ResponseMemory({ limitBytes: 1_000_000 }),
       store: getAddress(store),
       clock: new SystemClock(),
       logger: Logger.create({}),
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -1,7 +1,6 @@
 /**
- * Stand-ins for the platform's endpoints: engines and plain services. They speak
- * the platform's protocol over HTTP and record the orders and attempts that they
- * receive.
+ * Stand-ins for the platform's endpoints: engines and plain services, which record
+ * the orders and attempts that they receive.
  * @module
  */
 import {
@@ -13,14 +12,19 @@
   SERVER_LIMIT,
   SIGNATURE,
   TENANT,
-  WEIGHT_VERSIONS,
 } from "@briarhill/platform/names/headers";
+import { createEndpointEntry } from "./endpoint_entry.ts";
 import type {
   EndpointStandInOptions,
   ReceivedAttempt,
   ReceivedOrder,
 } from "./endpoint_stand_in_options.ts";
-import { FIRST_SOFTWARE_VERSION, formatEvent } from "./event_text.ts";
+import { type EndlessPart, writeEndless } from "./endless_response.ts";
+import {
+  createStreamHeaders,
+  FIRST_SOFTWARE_VERSION,
+  formatEvent,
+} from "./event_text.ts";
 import { LimitMonitor } from "./limit_monitor.ts";
 import { HEALTH_PATH } from "./platform_configuration.ts";
 import { LeavingMonitor } from "./leaving_monitor.ts";
@@ -46,9 +50,9 @@
   /** States a request limit and checks that all hosts together keep it. */
   readonly limit = new LimitMonitor();
   #startedAtMs = Date.now();
-  readonly #server = createServer((request, response) => {
-    void this.#handle(request, response);
-  });
+  readonly #server = createServer((...exchange) =>
+    void this.#handle(...exchange)
+  );
   #sequence = 0;
   #orderCount = 0;
   #isLoading = false;
@@ -58,6 +62,8 @@
   eventDelayMs = 0;
   /** The bytes that are added to the data of each event of a stream. */
   eventBytes = 0;
+  /** What responses to attempts repeat without end; undefined if they end. */
+  endless: EndlessPart | undefined;
   /** The number of bytes of a request's body that the response of a plain service repeats. */
   echoBytes = Infinity;
   /** The delay before each attempt starts, in milliseconds; reports and orders are not delayed. */
@@ -77,9 +83,9 @@
   /** Starts listening for requests of hosts. */
   start(): Promise<void> {
     const { port, hostname } = this.options;
-    return new Promise((resolve) => {
-      this.#server.listen(port, hostname, () => resolve());
-    });
+    return new Promise((resolve) =>
+      this.#server.listen(port, hostname, () => resolve())
+    );
   }
 
   /** Stops listening and closes all connections at once, as in a crash. */
@@ -103,20 +109,13 @@
    * @param state - The state that the entry reports.
    */
   createEntry(state: "ready" | "draining" = "ready") {
-    const { service, zone } = this.options;
-    const { hostname, port } = this.options.advertisedAddress ?? this.options;
-    return {
-      service,
-      address: `${hostname}:${port}`,
-      zone,
-      version: this.softwareVersion,
-      slots: 4,
+    return createEndpointEntry(this.options, {
       state,
-      coldLeftMs: 0,
+      version: this.softwareVersion,
       models: this.#listModels(),
       sequence: ++this.#sequence,
       born: this.#startedAtMs,
-    };
+    });
   }
 
   #listModels() {
@@ -141,8 +140,8 @@
     if (this.limit.text !== undefined) {
       response.setHeader(SERVER_LIMIT, this.limit.text);
     }
-    const expected = request.headers[EXPECTED_INSTANCE.toLowerCase()];
-    if (expected !== undefined && expected !== this.options.id) {
+    const { id } = this.options;
+    if ((request.headers[EXPECTED_INSTANCE.toLowerCase()] ?? id) !== id) {
       response.writeHead(421).end();
     } else if (request.url === HEALTH_PATH) {
       // It takes no slot and counts against no limit, as it is no attempt.
@@ -153,9 +152,8 @@
       this.#handleOrder(JSON.parse(body.toString()), response);
     } else {
       this.limit.addArrival();
-      this.arrivals.push(
-        String(request.headers[ATTEMPT_ID.toLowerCase()] ?? ""),
-      );
+      const attemptId = request.headers[ATTEMPT_ID.toLowerCase()] ?? "";
+      this.arrivals.push(String(attemptId));
       await sleep(this.delayMs);
       if (this.crash.isTriggered(body)) {
         await this.crash.killEndpoint(this);
@@ -200,6 +198,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const attemptId = String(request.headers[ATTEMPT_ID.toLowerCase()] ?? "");
+    const isEngine = this.options.models.length > 0;
     const headers = {
       [ATTEMPT_ID]: attemptId,
       [SIGNATURE]: `${this.options.id}.${attemptId}`,
@@ -219,17 +218,18 @@
       workspace: String(request.headers[TENANT.toLowerCase()] ?? ""),
       authorization: request.headers.authorization ?? "",
     });
-    if (this.options.models.length === 0) {
-      response.writeHead(200, headers).end(body.subarray(0, this.echoBytes));
-      return;
-    }
     const version = Math.max(...this.#versions.values());
-    response.writeHead(200, {
-      ...headers,
-      [WEIGHT_VERSIONS]: String(version),
-      "content-type": "text/event-stream",
-    });
-    await this.#writeEvents(response, fromEvent);
+    response.writeHead(
+      200,
+      isEngine ? createStreamHeaders(headers, version) : headers,
+    );
+    if (this.endless !== undefined) {
+      await writeEndless(response, this.endless);
+    } else if (isEngine) {
+      await this.#writeEvents(response, fromEvent);
+    } else {
+      response.end(body.subarray(0, this.echoBytes));
+    }
   }
 
   async #writeEvents(response: ServerResponse, from: number): Promise<void> {
@@ -241,9 +241,9 @@
         response.destroy();
         return;
       }
-      const data = formatEvent(this.softwareVersion, id) +
-        "x".repeat(this.eventBytes);
-      response.write(`id: ${id}\ndata: ${data}\n\n`);
+      const data = formatEvent(this.softwareVersion, id);
+      const rest = "x".repeat(this.eventBytes);
+      response.write(`id: ${id}\ndata: ${data}${rest}\n\n`);
     }
     response.end();
   }
--- a/packages/fakes/src/platform/event_text.ts
+++ b/packages/fakes/src/platform/event_text.ts
@@ -2,6 +2,7 @@
  * The text that engine stand-ins generate; it shows which software version wrote it.
  * @module
  */
+import { WEIGHT_VERSIONS } from "@briarhill/platform/names/headers";
 
 /** The version of endpoint stand-ins until it is set. */
 export const FIRST_SOFTWARE_VERSION = "v1";
@@ -40,3 +41,24 @@
     (_, id) => formatEvent(softwareVersion, id),
   ).join("\n");
 }
+
+/**
+ * Returns the headers of a stream.
+ *
+ * @example
+ * ```ts
+ * const headers = createStreamHeaders({}, 1);
+ * ```
+ * @param headers - The headers of all responses.
+ * @param version - The version of the weights that generate the events.
+ */
+export function createStreamHeaders(
+  headers: Readonly<Record<string, string>>,
+  version: number,
+): Readonly<Record<string, string>> {
+  return {
+    ...headers,
+    [WEIGHT_VERSIONS]: String(version),
+    "content-type": "text/event-stream",
+  };
+}
--- a/packages/platform/src/engine/event_decoder.ts
+++ b/packages/platform/src/engine/event_decoder.ts
@@ -29,6 +29,11 @@
   readonly #decoder = new StringDecoder("utf8");
   #buffered = "";
 
+  /** The number of characters of an incomplete event that are buffered. */
+  get bufferedCharacters(): number {
+    return this.#buffered.length;
+  }
+
   /** Whether a part of an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
     return this.#buffered.trim() !== "";
@@ -72,5 +77,10 @@
   }
   return id === undefined || !Number.isSafeInteger(id)
     ? undefined
-    : { id, data: data.join("\n"), version };
+    : { id, data: toOwnText(data.join("\n")), version };
+}
+
+/** Copies a text, as a part of a string may keep the whole of it in memory. */
+function toOwnText(text: string): string {
+  return Buffer.from(text, "utf16le").toString("utf16le");
 }
--- a/packages/rollout/src/dispatch/sample_task.ts
+++ b/packages/rollout/src/dispatch/sample_task.ts
@@ -23,6 +23,10 @@
 /** The maximum number of events of a sample; an engine holds fewer tokens in its memory. */
 const MAX_EVENTS = 131_072;
 
+/** The bytes that an event takes beside its text. */
+const EVENT_BYTES = 64;
+const BYTES_PER_CHARACTER = 2;
+
 /** One event of an upstream response. */
 export interface GeneratedEvent {
   readonly id: number;
@@ -74,6 +78,12 @@
     return this.#texts.length;
   }
 
+  /** The most that the events take in memory, in bytes. */
+  get heldBytes(): number {
+    return BYTES_PER_CHARACTER * this.#characterCount +
+      EVENT_BYTES * this.#texts.length;
+  }
+
   /** The software version at which the sample must go on; undefined if any may begin it. */
   get softwareVersion(): string | undefined {
     return this.#texts.length > 0 ? this.#softwareVersion : undefined;
