Add responses without a length, reset and without end to the soak

The fault proxy of the stand-ins passed a reset that came with the last bytes on as a plain end.

Endpoints end responses with their connection, reset them half way, or send them without end. The proxy passes such resets on, with a test. An endpoint that is ended resets its open responses without a length.

--- a/packages/bench/src/soak/endpoint_faults.ts
+++ b/packages/bench/src/soak/endpoint_faults.ts
@@ -15,6 +15,17 @@
 /** How long an endpoint states one limit at least, in milliseconds; above the time in which hosts may still exceed it. */
 const LIMITED_MS = 4_000;
 
+/** A part of a response without end, and the pause after it, in milliseconds. */
+const ENDLESS = { format: () => "x".repeat(60_000), pauseMs: 20 };
+const RESPONSE_ENDINGS = {
+  "responses-unframed": "unframed",
+  "responses-reset": "reset",
+  "responses-endless": "unframed",
+} as const;
+
+/** A fault of the bytes that an endpoint sends. */
+export type ResponseFaultKind = keyof typeof RESPONSE_ENDINGS;
+
 /** The body of requests that crash endpoints begins with this text. */
 const CRASH_TEXT = "poison";
 /** How long such a request comes again at least, in milliseconds; above the time in which hosts have to know it. */
@@ -114,3 +125,52 @@
   await sleep(LIMITED_MS + forMs);
   limit?.clearLimit();
 }
+
+/**
+ * Returns whether a fault is one of the bytes that an endpoint sends.
+ *
+ * @example
+ * ```ts
+ * const isResponse = isResponseFault("responses-reset");
+ * ```
+ * @param kind - The kind of the fault.
+ */
+export function isResponseFault(kind: string): kind is ResponseFaultKind {
+  return kind in RESPONSE_ENDINGS;
+}
+
+/**
+ * Lets an endpoint end its responses without a length, reset them half way or send
+ * them without end.
+ *
+ * @example
+ * ```ts
+ * declare const platform: PlatformStandIn;
+ *
+ * const kind = "responses-reset";
+ * await runResponseFault(platform, { kind, forMs: 500, target: 1 });
+ * ```
+ * @param platform - The platform.
+ * @param fault - Its kind, its duration and a number that selects the endpoint.
+ */
+export async function runResponseFault(
+  platform: PlatformStandIn,
+  { kind, forMs, target }: {
+    readonly kind: ResponseFaultKind;
+    readonly forMs: number;
+    readonly target: number;
+  },
+): Promise<void> {
+  // The client of the soak does not read events without end.
+  const isEndless = kind === "responses-endless";
+  const endpoints = isEndless ? platform.services : platform.endpoints;
+  const endpoint = endpoints[target % endpoints.length];
+  if (endpoint === undefined) {
+    return;
+  }
+  endpoint.endings.ending = RESPONSE_ENDINGS[kind];
+  endpoint.endless = isEndless ? ENDLESS : undefined;
+  await sleep(forMs);
+  endpoint.endings.ending = "framed";
+  endpoint.endless = undefined;
+}
--- a/packages/bench/src/soak/soak_faults.ts
+++ b/packages/bench/src/soak/soak_faults.ts
@@ -6,8 +6,11 @@
 import type { PlatformStandIn } from "@briarhill/fakes/platform/platform_stand_in";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+  isResponseFault,
   releaseSoftware,
+  type ResponseFaultKind,
   runLimit,
+  runResponseFault,
   sendCrashingRequest,
 } from "./endpoint_faults.ts";
 import { type CutKind, type HostCuts, isCutKind } from "./host_cuts.ts";
@@ -30,7 +33,7 @@
 
 /** A fault that cuts no host from all endpoints. */
 type OtherFault = SoakFault & {
-  readonly kind: Exclude<SoakFault["kind"], CutKind>;
+  readonly kind: Exclude<SoakFault["kind"], CutKind | ResponseFaultKind>;
 };
 
 /** Brings faults about, and undoes them after their time. */
@@ -62,6 +65,9 @@
       const hosts = this.#hosts.length;
       return await this.#cuts.cancelLinks(kind, { ...fault, hosts });
     }
+    if (isResponseFault(kind)) {
+      return await runResponseFault(this.#platform, { ...fault, kind });
+    }
     return await this.#runOther({ ...fault, kind });
   }
 
--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -32,7 +32,10 @@
   | "software-released"
   | "hosts-cut-silent"
   | "hosts-cut-reset"
-  | "hosts-cut-refused";
+  | "hosts-cut-refused"
+  | "responses-unframed"
+  | "responses-reset"
+  | "responses-endless";
 
 const KINDS: readonly SoakFaultKind[] = [
   "kill",
@@ -88,12 +91,20 @@
   "hosts-cut-refused",
 ];
 
+/** Faults of the bytes of endpoints, added after those. */
+const RESPONSE_KINDS: readonly SoakFaultKind[] = [
+  "responses-unframed",
+  "responses-reset",
+  "responses-endless",
+];
+
 /** The mean pause between two faults, in milliseconds; most last longer, so that they overlap. */
 const MEAN_PAUSE_MS = 700;
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
 const LATER_MEAN_PAUSE_MS = 2_000;
 const CUT_MEAN_PAUSE_MS = 3_000;
+const RESPONSE_MEAN_PAUSE_MS = 2_000;
 /** Above the number of anything that a fault can strike. */
 const MAX_TARGETS = 1_000;
 
@@ -111,6 +122,9 @@
   const random = new SeededRandom(hashText(`soak ${options.seed}`));
   const later = new SeededRandom(hashText(`soak later ${options.seed}`));
   const cuts = new SeededRandom(hashText(`soak cuts ${options.seed}`));
+  const responses = new SeededRandom(
+    hashText(`soak responses ${options.seed}`),
+  );
   return [
     ...drawFaults(random, {
       ...options,
@@ -127,6 +141,11 @@
       kinds: CUT_KINDS,
       meanPauseMs: CUT_MEAN_PAUSE_MS,
     }),
+    ...drawFaults(responses, {
+      ...options,
+      kinds: RESPONSE_KINDS,
+      meanPauseMs: RESPONSE_MEAN_PAUSE_MS,
+    }),
   ].toSorted((first, second) => first.atMs - second.atMs);
 }
 
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -20,14 +20,12 @@
   ReceivedOrder,
 } from "./endpoint_stand_in_options.ts";
 import { type EndlessPart, writeEndless } from "./endless_response.ts";
-import {
-  createStreamHeaders,
-  FIRST_SOFTWARE_VERSION,
-  formatEvent,
-} from "./event_text.ts";
+import { writeEvents } from "./event_stream.ts";
+import { createStreamHeaders, FIRST_SOFTWARE_VERSION } from "./event_text.ts";
 import { LimitMonitor } from "./limit_monitor.ts";
 import { HEALTH_PATH } from "./platform_configuration.ts";
 import { LeavingMonitor } from "./leaving_monitor.ts";
+import { ResponseEndings } from "./response_endings.ts";
 import { readRequestBytes } from "./request_bytes.ts";
 import { CrashSwitch } from "./crash_switch.ts";
 import { ORDER_PATH, REPORT_PATH } from "@briarhill/platform/names/paths";
@@ -62,6 +60,7 @@
   eventDelayMs = 0;
   /** The bytes that are added to the data of each event of a stream. */
   eventBytes = 0;
+  readonly endings = new ResponseEndings();
   /** What responses to attempts repeat without end; undefined if they end. */
   endless: EndlessPart | undefined;
   /** The number of bytes of a request's body that the response of a plain service repeats. */
@@ -91,6 +90,7 @@
   /** Stops listening and closes all connections at once, as in a crash. */
   close(): void {
     this.#server.close();
+    this.endings.abortAll();
     this.#server.closeAllConnections();
   }
 
@@ -198,7 +198,6 @@
     response: ServerResponse,
   ): Promise<void> {
     const attemptId = String(request.headers[ATTEMPT_ID.toLowerCase()] ?? "");
-    const isEngine = this.options.models.length > 0;
     const headers = {
       [ATTEMPT_ID]: attemptId,
       [SIGNATURE]: `${this.options.id}.${attemptId}`,
@@ -218,33 +217,17 @@
       workspace: String(request.headers[TENANT.toLowerCase()] ?? ""),
       authorization: request.headers.authorization ?? "",
     });
-    const version = Math.max(...this.#versions.values());
-    response.writeHead(
+    const isEngine = this.options.models.length > 0;
+    this.endings.open(response).writeHead(
       200,
-      isEngine ? createStreamHeaders(headers, version) : headers,
+      isEngine ? createStreamHeaders(headers, this.#versions) : headers,
     );
     if (this.endless !== undefined) {
       await writeEndless(response, this.endless);
     } else if (isEngine) {
-      await this.#writeEvents(response, fromEvent);
+      await writeEvents(response, { from: fromEvent, source: this });
     } else {
-      response.end(body.subarray(0, this.echoBytes));
-    }
-  }
-
-  async #writeEvents(response: ServerResponse, from: number): Promise<void> {
-    const { events, eventMs } = this.options;
-    for (let id = from; id < events; id++) {
-      await sleep(eventMs + this.eventDelayMs);
-      if (id - from >= this.breakAfter) {
-        response.write(`id: ${id}\nda`);
-        response.destroy();
-        return;
-      }
-      const data = formatEvent(this.softwareVersion, id);
-      const rest = "x".repeat(this.eventBytes);
-      response.write(`id: ${id}\ndata: ${data}${rest}\n\n`);
+      this.endings.finish(response, body.subarray(0, this.echoBytes));
     }
-    response.end();
   }
 }
--- a/packages/fakes/src/platform/event_text.ts
+++ b/packages/fakes/src/platform/event_text.ts
@@ -47,18 +47,18 @@
  *
  * @example
  * ```ts
- * const headers = createStreamHeaders({}, 1);
+ * const headers = createStreamHeaders({}, new Map([["m0", 1]]));
  * ```
  * @param headers - The headers of all responses.
- * @param version - The version of the weights that generate the events.
+ * @param versions - The version of the weights of each model; the highest one generates the events.
  */
 export function createStreamHeaders(
   headers: Readonly<Record<string, string>>,
-  version: number,
+  versions: ReadonlyMap<string, number>,
 ): Readonly<Record<string, string>> {
   return {
     ...headers,
-    [WEIGHT_VERSIONS]: String(version),
+    [WEIGHT_VERSIONS]: String(Math.max(...versions.values())),
     "content-type": "text/event-stream",
   };
 }
--- a/packages/fakes/src/platform/fault_proxy.ts
+++ b/packages/fakes/src/platform/fault_proxy.ts
@@ -3,6 +3,7 @@
  * client and a target.
  * @module
  */
+import { isReset } from "@briarhill/common/http/response_completeness";
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
 import { ChangeNotifier } from "@briarhill/common/time/change_notifier";
 import type { Buffer } from "node:buffer";
@@ -158,7 +159,11 @@
       );
     };
     from.on("data", (bytes: Buffer) => enqueue(() => to.write(bytes)));
-    from.on("end", () => enqueue(() => to.end()));
+    from.on("end", () => {
+      // A reset that has arrived together with the last bytes is reported as an end.
+      const wasReset = isReset(from);
+      enqueue(() => wasReset ? to.resetAndDestroy() : to.end());
+    });
     // A "close" event follows each error and is handled below. Either side may close first.
     from.on("error", () => undefined);
     from.on("close", (hadError) => {
--- a/packages/fakes/test/platform/fault_proxy_test.ts
+++ b/packages/fakes/test/platform/fault_proxy_test.ts
@@ -1,3 +1,4 @@
+import { isReset } from "@briarhill/common/http/response_completeness";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
@@ -105,4 +106,22 @@
     old.socket.destroy();
     fresh.socket.destroy();
   });
+
+  /** A reset passed for the end of a response, so that no run could show what hosts make of it. */
+  it("passes a reset on that arrives together with the last bytes", async () => {
+    echo.once("connection", (socket: Socket) => {
+      socket.once(
+        "data",
+        () => socket.write("last", () => socket.resetAndDestroy()),
+      );
+    });
+    const client = await openClient();
+    let wasReset = false;
+    client.socket.on("error", () => wasReset = true);
+    client.socket.on("end", () => wasReset ||= isReset(client.socket));
+    const closed = once(client.socket, "close");
+    client.socket.write("x");
+    await closed;
+    assert.equal(wasReset, true);
+  });
 });
