Bound what briarhill's own interface reads and ends early

Cause: hosts that had dialled another one took messages of up to 100 MiB, the default of the library; the accepting side has a bound of 1 MiB. A complete body of the adapters was kept in its chunks, each of which may hold the buffer of a whole read. A service's response that breaks off closed the connection of a caller of HTTP/1.0 as if it were complete.

Ruled out: heads, informational responses, chunk sizes, extensions and trailers without end at the adapters (seven new tests, which pass without this change, too).

Change: one bound for both ends of a link, chunks are copied before they hold much more than themselves, and such a connection is reset.

The reset of a service's response has no test of its own.

--- a/packages/common/test/http/http_sender_test.ts
+++ b/packages/common/test/http/http_sender_test.ts
@@ -38,6 +38,7 @@
 async function sendOnce(
   bytes: string,
   end: keyof typeof ENDS,
+  method = "GET",
 ): Promise<unknown> {
   const server = createServer((socket) => {
     socket.on("error", () => undefined);
@@ -55,7 +56,7 @@
   const { port } = server.address() as AddressInfo;
   const result = await sender.send({
     address: { hostname: "127.0.0.1", port },
-    method: "GET",
+    method,
     path: "/",
     headers: ["Host", "a"],
     headTimeoutMs: 500,
@@ -103,6 +104,11 @@
     }
   });
 
+  it("returns the response to a HEAD request, which has a length and no body", async () => {
+    const head = `${HEAD}Content-Length: 999999999\r\n\r\n`;
+    assert.equal(await sendOnce(head, "closed", "HEAD"), "");
+  });
+
   it("returns a whole response with a length though other bytes follow it", async () => {
     assert.equal(await sendOnce(`${ANSWER}no response`, "closed"), "answer");
   });
--- a/packages/node/src/peers/peer_listener.ts
+++ b/packages/node/src/peers/peer_listener.ts
@@ -13,8 +13,8 @@
 import { PeerEncoder } from "./peer_encoder.ts";
 import type { PeerContext } from "./peer_network_setup.ts";
 import { createPeerRouter } from "./peer_router.ts";
+import { MAX_MESSAGE_BYTES } from "./socket_class.ts";
 
-const MAX_MESSAGE_BYTES = 1_048_576;
 const HTTP_UPGRADE_REQUIRED = 426;
 
 /** Accepts links of peers. */
--- a/packages/node/src/peers/socket_class.ts
+++ b/packages/node/src/peers/socket_class.ts
@@ -6,6 +6,9 @@
 import { WebSocket } from "ws";
 import type { TrafficMeter } from "./traffic_meter.ts";
 
+/** The maximum size of a message between hosts, in bytes. */
+export const MAX_MESSAGE_BYTES = 1_048_576;
+
 /** Options of `createSocketClass`. */
 export interface SocketClassOptions {
   readonly meter: TrafficMeter;
@@ -33,6 +36,7 @@
     constructor(url: string) {
       super(url, {
         perMessageDeflate: false,
+        maxPayload: MAX_MESSAGE_BYTES,
         handshakeTimeout: timeoutMs,
         createConnection: (connection: unknown) => {
           const socket = connect(connection as NetConnectOpts);
--- a/packages/node/src/services/service_response.ts
+++ b/packages/node/src/services/service_response.ts
@@ -2,6 +2,7 @@
  * Forwards the responses of services to their callers.
  * @module
  */
+import { abortResponse } from "@briarhill/common/http/abort_response";
 import { DeadlineError } from "@briarhill/common/errors/errors";
 import type { ServiceResponse } from "@briarhill/ports/service/service";
 import { pipeline } from "node:stream/promises";
@@ -34,8 +35,15 @@
     response.status,
     toForwardedHeaders(response.headers),
   );
+  // Comes before the pipeline closes the connection.
+  const abort = () => abortResponse(exchange.response);
+  signal.addEventListener("abort", abort, { once: true });
   try {
-    await pipeline(response.body, exchange.response, { signal });
+    await pipeline(
+      readOrAbort(response.body, abort),
+      exchange.response,
+      { signal },
+    );
   } catch (cause) {
     if (!signal.aborted || exchange.signal.aborted) {
       throw cause;
@@ -47,5 +55,20 @@
         props: { outcome: "ran" },
       },
     );
+  } finally {
+    signal.removeEventListener("abort", abort);
+  }
+}
+
+/** A body that fails must not leave a response that looks complete. */
+async function* readOrAbort(
+  body: AsyncIterable<Uint8Array>,
+  abort: () => void,
+): AsyncIterable<Uint8Array> {
+  try {
+    yield* body;
+  } catch (error) {
+    abort();
+    throw error;
   }
 }
--- a/packages/ports/src/http/http_client.ts
+++ b/packages/ports/src/http/http_client.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { PortError } from "@briarhill/common/errors/errors";
+import { ByteCollector } from "@briarhill/common/http/byte_collector";
 import { type Dispatcher, Pool } from "undici";
 import type { z } from "zod";
 import { CallProgress } from "./call_progress.ts";
@@ -129,14 +130,12 @@
    * @param operation - The operation of the port, reported in errors.
    */
   async readText(response: HttpResponse, operation: string): Promise<string> {
-    const chunks: Uint8Array[] = [];
-    let bytes = 0;
-    for await (const chunk of response.body) {
-      chunks.push(chunk);
-      bytes += chunk.length;
-      this.#throwIfTooLong(bytes, operation);
+    const collector = new ByteCollector();
+    for await (const { buffer, byteOffset, byteLength } of response.body) {
+      collector.addChunk(Buffer.from(buffer, byteOffset, byteLength));
+      this.#throwIfTooLong(collector.byteCount, operation);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return collector.toBuffer().toString("utf8");
   }
 
   /** Closes idle connections immediately, others after their calls. */
--- a/packages/ports/test/http/http_client_test.ts
+++ b/packages/ports/test/http/http_client_test.ts
@@ -137,6 +137,40 @@
     );
   }
 
+  /** Bytes that are no answer were read until a timeout that they kept from firing. */
+  const chunkedHead = "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n";
+  for (
+    const [name, begin, filler] of [
+      ["blank lines before the head", "", "\r\n"],
+      ["informational responses", "", "HTTP/1.1 103 X\r\n\r\n"],
+      ["header lines", "HTTP/1.1 200 X\r\n", "x-a: b\r\n"],
+      ["the size of a chunk", chunkedHead, "0"],
+      ["the extension of a chunk", `${chunkedHead}5;`, "a"],
+      ["the fields behind the last chunk", `${chunkedHead}0\r\n`, "x-a: b\r\n"],
+      ["a body without a length", unframed, "1"],
+    ] as const
+  ) {
+    it(`fails within its timeouts on a response with ${name} without end`, async () => {
+      await withClient((socket) => {
+        const bytes = filler.repeat(4_096);
+        const write = () => {
+          while (!socket.destroyed && socket.write(bytes));
+        };
+        socket.write(begin);
+        socket.on("drain", write);
+        write();
+      }, async (client) => {
+        const startMs = performance.now();
+        const result = await getCallResult(
+          client.fetchJson(createCall(), SCHEMA),
+        );
+        assert.notEqual(result, "ok");
+        const tookMs = performance.now() - startMs;
+        assert.ok(tookMs < 2_000, `took ${tookMs} ms`);
+      });
+    });
+  }
+
   it("never returns the response of one call to another", async () => {
     const lateResponse = createResponse('{"n":99}');
     await withClient((socket, request) => {
