--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -15,8 +15,8 @@
 import { readBody } from "./body_reader.ts";
 import { ConnectionHistory } from "./connection_history.ts";
 import { RequestWatch } from "./request_watch.ts";
-import type { ResponseMemory } from "./response_memory.ts";
 import { followConnectionEnd } from "./response_completeness.ts";
+import type { ResponseMemory } from "./response_memory.ts";
 import { StrayByteGuard } from "./stray_byte_guard.ts";
 import type {
   HttpAddress,
--- a/packages/common/src/http/stray_byte_guard.ts
+++ b/packages/common/src/http/stray_byte_guard.ts
@@ -10,9 +10,9 @@
 import type { Socket } from "node:net";
 
 /**
- * The maximum number of bytes between two parts of a response, in bytes: the
- * largest head or chunk extension that the parser accepts, 16 KiB, and what one
- * read and the buffer of a paused response hold, 64 KiB each.
+ * The limit of the bytes between two parts of a response. A head or a chunk
+ * extension of a sound one has up to 16 KiB; one read and the buffer of a paused
+ * response hold 64 KiB each.
  */
 const MAX_STRAY_BYTES = 262_144;
 
