Retry refused connections in the test of responses without end

Cause: at a load of 22 all 30 connections of the test took longer than the 250 ms that a host waits for one, so that no response was read.

Ruled out: the account of responses; nothing was sent.

Change: a request that was not sent is sent again, and each response has to end in one of the three expected faults, which is stricter than before.

--- a/packages/edge/test/calls/endpoint_sender_test.ts
+++ b/packages/edge/test/calls/endpoint_sender_test.ts
@@ -1,6 +1,7 @@
 import { PortError } from "@briarhill/common/errors/errors";
 import { setLogWriter } from "@briarhill/common/logging/logger";
 import { SystemClock } from "@briarhill/common/time/system_clock";
+import type { EndpointStructure } from "@briarhill/routing/endpoints/endpoint";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import {
@@ -144,23 +145,29 @@
     const timer = setInterval(() => {
       maxBytes = Math.max(maxBytes, endpointResponses.usedBytes);
     }, 1);
-    const faults = await Promise.all(
-      Array.from(
-        { length: REQUESTS },
-        () =>
-          sender.send(createRequest(endpoint)).then(
-            () => "none",
-            ({ fault }: PortError) => fault,
-          ),
-      ),
+    // A busy machine may exceed the timeout of a connection, and nothing is sent then.
+    const send = async (to: EndpointStructure): Promise<string> => {
+      let result = "refused";
+      while (result === "refused") {
+        result = await sender.send(createRequest(to)).then(
+          ({ httpAnswer }) => httpAnswer.body.toString(),
+          ({ fault }: PortError) => fault,
+        );
+      }
+      return result;
+    };
+    const results = await Promise.all(
+      Array.from({ length: REQUESTS }, () => send(endpoint)),
     );
-    const { httpAnswer } = await sender.send(createRequest(soundEndpoint));
+    const soundResult = await send(soundEndpoint);
     clearInterval(timer);
     sender.close();
     [faulty, sound].forEach((server) => server.close());
-    assert.equal(httpAnswer.body.toString(), "sound");
-    assert.ok(faults.includes("no-room"), `${faults}`);
-    assert.ok(!faults.includes("none"), `${faults}`);
+    assert.equal(soundResult, "sound");
+    assert.ok(results.includes("no-room"), `${results}`);
+    const isFault = (result: string) =>
+      ["no-room", "oversized", "silent"].includes(result);
+    assert.ok(results.every(isFault), `${results}`);
     assert.ok(maxBytes <= MAX_RESPONSE_BYTES, `${maxBytes} bytes`);
     assert.equal(endpointResponses.usedBytes, 0);
   });
