Count a response as whole whose server resets the connection after its end

What callers saw: an error for a whole answer without a length, if its server ended the connection and then closed it with a part of the request unread.

--- a/packages/common/src/http/response_completeness.ts
+++ b/packages/common/src/http/response_completeness.ts
@@ -3,6 +3,8 @@
  * without a length as complete however its connection ends, also by a reset.
  * @module
  */
+import { Buffer } from "node:buffer";
+import { readSync } from "node:fs";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 
@@ -14,8 +16,7 @@
  * response head has arrived.
  *
  * If the bytes and the reset of a connection have arrived together, the runtime
- * reads the bytes and reports a plain end without an error. The kernel has closed
- * the connection by then, whereas one that the server has ended is half open.
+ * reads the bytes and reports a plain end without an error or a further read.
  *
  * @example
  * ```ts
@@ -48,8 +49,8 @@
 }
 
 /**
- * Returns whether the kernel has closed a connection whose end is being reported.
- * The address of the peer must not be read before, as the runtime keeps it.
+ * Returns whether a connection was reset before its other side had ended it; to be
+ * called when its end is reported. A reset that follows the end changes nothing.
  *
  * @example
  * ```ts
@@ -60,7 +61,16 @@
  * @param socket - The connection.
  */
 export function isReset(socket: Socket): boolean {
-  return socket.remoteAddress === undefined;
+  const { _handle: handle } = socket as unknown as {
+    readonly _handle?: { readonly fd?: number } | null;
+  };
+  try {
+    // The read that the runtime has left out: it returns 0 after a plain end.
+    readSync(handle?.fd ?? -1, Buffer.alloc(1));
+    return false;
+  } catch {
+    return true;
+  }
 }
 
 /**
--- a/packages/common/test/http/http_sender_test.ts
+++ b/packages/common/test/http/http_sender_test.ts
@@ -35,14 +35,26 @@
 const ROUNDS = 20;
 
 /** Sends a request to a server that writes these bytes and ends the connection; returns the body or the error. */
-async function sendOnce(
+function sendOnce(
   bytes: string,
   end: keyof typeof ENDS,
   method = "GET",
 ): Promise<unknown> {
-  const server = createServer((socket) => {
+  return sendTo(
+    (socket) => socket.on("data", () => ENDS[end](socket, bytes)).resume(),
+    method,
+  );
+}
+
+/** Sends a request to a server that handles its connection in this way; returns the body or the error. */
+async function sendTo(
+  handle: (socket: Socket) => void,
+  method = "GET",
+): Promise<unknown> {
+  const server = createServer({ pauseOnConnect: true }, (socket) => {
     socket.on("error", () => undefined);
-    socket.on("data", () => ENDS[end](socket, bytes));
+    // The request has arrived by then.
+    setTimeout(() => handle(socket), 5);
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const sender = new HttpSender({
@@ -104,6 +116,20 @@
     }
   });
 
+  /** Callers got an error for a whole answer whose server closed the connection with a part of the request unread. */
+  it("returns a response without a length whose connection is ended, then reset", async () => {
+    for (const head of Object.values(UNFRAMED_HEADS)) {
+      for (let round = 0; round < ROUNDS; round++) {
+        // The kernel resets a connection that is closed with unread bytes.
+        const result = await sendTo((socket) => {
+          socket.pause();
+          socket.end(`${head}whole`, () => socket.destroy());
+        });
+        assert.equal(result, "whole");
+      }
+    }
+  });
+
   it("returns the response to a HEAD request, which has a length and no body", async () => {
     const head = `${HEAD}Content-Length: 999999999\r\n\r\n`;
     assert.equal(await sendOnce(head, "closed", "HEAD"), "");
