Tell an end that a reset follows from a reset, also over TLS

Cause: the missing address of the peer was taken for a reset; a reset after the end has the same sign.

Ruled out: that both are the same once they have arrived (100 connections a row: the read fails after a reset, returns 0 after an end and a reset).

Why it works: the kernel keeps the end apart from the reset that follows, and says so to the read that the runtime leaves out.

Failed before, on:

x returns a response without a length whose connection is ended, then reset + PortError: server /: can't read the response body: incomplete expected: 'whole', x returns false for a connection that is ended, then reset actual: false, expected: true,

--- a/packages/common/src/http/response_completeness.ts
+++ b/packages/common/src/http/response_completeness.ts
@@ -68,8 +68,9 @@
     // The read that the runtime has left out: it returns 0 after a plain end.
     readSync(handle?.fd ?? -1, Buffer.alloc(1));
     return false;
-  } catch {
-    return true;
+  } catch (error) {
+    // Over TLS, the end is reported before the connection has ended.
+    return (error as NodeJS.ErrnoException).code !== "EAGAIN";
   }
 }
 
