Reject responses whose status line is not HTTP

What callers saw: an answer with status 000 or 099 ended as 500 "internal error" of the host and was not tried again; an answer with status 101 or 600 and above, of version 0.9 or 2.0, or with a control byte in its reason was passed on as sound. Behind CR CR LF the rest of the head came as the body.

Cause: what the runtime's parser accepts was taken for an answer, and it accepts more than HTTP, each release of it something else.

Ruled out: a stricter setting of the parser (there is none beyond the default); checking the parsed head (line ends, bytes before the head and informational heads are dropped unseen, and by then the parser has decided where the body begins).

Change: ResponseScanner checks the bytes before the parser reads them; ResponseSyntaxGuard closes the connection at the first fault and lets nothing more pass. The request fails as malformed, outcome unknown.

--- a/packages/common/src/errors/errors.ts
+++ b/packages/common/src/errors/errors.ts
@@ -22,6 +22,10 @@
 });
 export type InputError = InstanceType<typeof InputError>;
 
+/** Bytes of a server that are no HTTP response. */
+export const ResponseSyntaxError = InputError.subclass("ResponseSyntaxError");
+export type ResponseSyntaxError = InstanceType<typeof ResponseSyntaxError>;
+
 /** A settings file that fails validation, or settings that can't be applied. */
 export const SettingsError = InputError.subclass("SettingsError");
 export type SettingsError = InstanceType<typeof SettingsError>;
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -17,6 +17,7 @@
 import { RequestWatch } from "./request_watch.ts";
 import { followConnectionEnd } from "./response_completeness.ts";
 import type { ResponseMemory } from "./response_memory.ts";
+import { ResponseSyntaxGuard } from "./response_syntax_guard.ts";
 import { StrayByteGuard } from "./stray_byte_guard.ts";
 import type {
   HttpAddress,
@@ -53,6 +54,7 @@
   readonly #agent: Agent;
   readonly #history = new ConnectionHistory();
   readonly #strayBytes = new StrayByteGuard();
+  readonly #syntax = new ResponseSyntaxGuard();
 
   constructor(options: HttpSenderOptions) {
     this.#options = options;
@@ -216,6 +218,9 @@
   ): void {
     this.#history.addExchange(socket, exchangeId);
     this.#strayBytes.addRequest(socket, () => watch.abort("malformed"));
+    this.#syntax.addRequest(socket, {
+      onFault: (error) => watch.abort("malformed", error),
+    });
     outgoing.on("information", () => this.#strayBytes.setProgress(socket));
   }
 
--- a/packages/common/src/http/request_watch.ts
+++ b/packages/common/src/http/request_watch.ts
@@ -30,6 +30,7 @@
   readonly #headTimer: NodeJS.Timeout;
   #isConnected = false;
   #fault: PortFault | undefined;
+  #cause: Error | undefined;
   #informationalResponses = 0;
 
   constructor(
@@ -61,8 +62,10 @@
    * Closes the connection of the request.
    *
    * @param reason - The fault that the error names, unless there was one before.
+   * @param cause - The error that has shown the fault, if any.
    */
-  abort(reason: PortFault): void {
+  abort(reason: PortFault, cause?: Error): void {
+    this.#cause ??= cause;
     this.#fault ??= reason;
     this.#outgoing.destroy();
   }
@@ -76,8 +79,9 @@
     const { port } = this.#options;
     const { path } = this.#exchange;
     const fault = this.#fault ?? (this.#isConnected ? "reset" : "refused");
-    return createPortError(`${port} ${path} failed: ${fault}`, {
-      cause: error,
+    const detail = this.#cause === undefined ? "" : `: ${this.#cause.message}`;
+    return createPortError(`${port} ${path} failed: ${fault}${detail}`, {
+      cause: this.#cause ?? error,
       port,
       operation: path,
       fault,
--- /dev/null
+++ b/packages/common/src/http/response_syntax.ts
@@ -0,0 +1,36 @@
+/**
+ * Parses the lines of a response head, as RFC 9112 and RFC 9110 define them.
+ * @module
+ */
+import { createResponseFault } from "./response_fault.ts";
+
+/** The space after the status is missing from some servers' lines without a reason; no reader takes them for anything else. */
+const STATUS_LINE =
+  /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?$/;
+/** Has to be asked for, which no request here does. */
+const SWITCHING_PROTOCOLS_STATUS = 101;
+
+/** The first line of a response. */
+export interface StatusLine {
+  /** The minor version of HTTP/1. */
+  readonly minorVersion: 0 | 1;
+  readonly status: number;
+}
+
+/**
+ * Parses the first line of a response. Throws a `ResponseSyntaxError` if it is none.
+ *
+ * @example
+ * ```ts
+ * const { status } = parseStatusLine("HTTP/1.1 200 OK");
+ * ```
+ * @param line - The line without its end, a character for each byte.
+ */
+export function parseStatusLine(line: string): StatusLine {
+  const [, minorVersion, digits] = STATUS_LINE.exec(line) ?? [];
+  const status = Number(digits);
+  if (minorVersion === undefined || status === SWITCHING_PROTOCOLS_STATUS) {
+    throw createResponseFault("a status line that is none", line);
+  }
+  return { minorVersion: minorVersion === "1" ? 1 : 0, status };
+}
--- /dev/null
+++ b/packages/common/src/http/response_syntax_guard.ts
@@ -0,0 +1,67 @@
+/**
+ * Checks what connections bring before any parser reads it. Bytes that are no HTTP
+ * response must not reach the parser, as it may take them for one.
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import { ResponseSyntaxError } from "../errors/errors.ts";
+import { ResponseScanner } from "./response_scanner.ts";
+
+/** The request that is sent on a connection. */
+export interface GuardedExchange {
+  /** Called at the first byte that is no part of an HTTP response; must close the connection. */
+  readonly onFault: (error: ResponseSyntaxError) => void;
+}
+
+interface ConnectionState {
+  exchange: GuardedExchange;
+  scanner: ResponseScanner;
+  hasFault: boolean;
+}
+
+/** Checks the responses on connections that carry one request at a time. */
+export class ResponseSyntaxGuard {
+  readonly #states = new WeakMap<Socket, ConnectionState>();
+
+  /**
+   * Records that a request is sent on a connection; what arrives from now on is
+   * checked as its response.
+   *
+   * @param socket - The connection.
+   * @param exchange - What to do if the bytes are no response.
+   */
+  addRequest(socket: Socket, exchange: GuardedExchange): void {
+    const state = this.#states.get(socket);
+    const scanner = new ResponseScanner();
+    if (state === undefined) {
+      this.#addSocket(socket, { exchange, scanner, hasFault: false });
+    } else {
+      Object.assign(state, { exchange, scanner });
+    }
+  }
+
+  #addSocket(socket: Socket, state: ConnectionState): void {
+    this.#states.set(socket, state);
+    const push = socket.push.bind(socket);
+    socket.push = (chunk: unknown, ...rest) =>
+      checkChunk(state, chunk) && push(chunk, ...rest);
+  }
+}
+
+/** Returns whether the parser may read a chunk; the end of a connection is null. */
+function checkChunk(state: ConnectionState, chunk: unknown): boolean {
+  if (state.hasFault || !Buffer.isBuffer(chunk)) {
+    return !state.hasFault;
+  }
+  try {
+    state.scanner.checkBytes(chunk);
+  } catch (error) {
+    if (!(error instanceof ResponseSyntaxError)) {
+      throw error;
+    }
+    state.hasFault = true;
+    state.exchange.onFault(error);
+  }
+  return !state.hasFault;
+}
--- /dev/null
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -0,0 +1,51 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { describe, it } from "node:test";
+import { ResponseSyntaxError } from "../../src/errors/errors.ts";
+import { ResponseScanner } from "../../src/http/response_scanner.ts";
+import {
+  listRareResponses,
+  listSpoiltStatusLines,
+  type ResponseBytes,
+} from "../../src/testing/response_bytes.ts";
+
+const CONTENT = { headers: ["X-Signature: s"], body: "body" };
+
+/** Returns whether all bytes pass when they arrive in pieces of this size. */
+function isAccepted(text: string, pieceBytes: number): boolean {
+  const scanner = new ResponseScanner();
+  const bytes = Buffer.from(text, "latin1");
+  try {
+    for (let offset = 0; offset < bytes.length; offset += pieceBytes) {
+      scanner.checkBytes(bytes.subarray(offset, offset + pieceBytes));
+    }
+    return true;
+  } catch (error) {
+    assert.ok(error instanceof ResponseSyntaxError, String(error));
+    return false;
+  }
+}
+
+/**
+ * Callers got answers that were not the server's: the parser took a head that is
+ * not HTTP for one, and read its body wherever it thought that the head ended.
+ */
+describe("ResponseScanner.checkBytes", () => {
+  function doTest(
+    title: string,
+    responses: readonly ResponseBytes[],
+    expected: boolean,
+  ): void {
+    it(title, () => {
+      for (const { title, text } of responses) {
+        for (const pieceBytes of [1, 3, text.length]) {
+          const actual = isAccepted(text, pieceBytes);
+          assert.equal(actual, expected, `${title} in ${pieceBytes}s`);
+        }
+      }
+    });
+  }
+
+  doTest("rejects status lines", listSpoiltStatusLines(CONTENT), false);
+  doTest("accepts rare responses", listRareResponses(CONTENT), true);
+});
