Reject responses with a field that is not HTTP

What callers saw: a head in whose field name a blank stood, or an empty name, came as sound, with that line passed on. A blank behind Content-Length hides the length: the body went on to the end of the connection.

Cause: as for the status line. llhttp 8.1.2 (Node.js 20.19.0) takes a blank for a part of a name when the head arrives in one read; 20.20.2 rejects it, so the runtime decided what callers got.

Ruled out: control bytes, bytes over 127 and separators in names, control bytes in values, lines without a colon, continued lines: the parser rejects them here too, and the tests keep that.

Change: ResponseScanner parses each field of a head, also of informational ones.

Seven rare fields stay whole.

--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -6,7 +6,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { CrlfReader } from "./crlf_reader.ts";
-import { parseStatusLine } from "./response_syntax.ts";
+import { parseHeaderField, parseStatusLine } from "./response_syntax.ts";
 
 const FIRST_FINAL_STATUS = 200;
 
@@ -40,6 +40,8 @@
     } else if (line === "") {
       const isFinal = this.#status >= FIRST_FINAL_STATUS;
       this.#part = isFinal ? "body" : "status-line";
+    } else {
+      parseHeaderField(line);
     }
   }
 }
--- a/packages/common/src/http/response_syntax.ts
+++ b/packages/common/src/http/response_syntax.ts
@@ -7,6 +7,9 @@
 /** The space after the status is missing from some servers' lines without a reason; no reader takes them for anything else. */
 const STATUS_LINE =
   /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?$/;
+/** The blanks around a value do not belong to it. */
+const FIELD_LINE =
+  /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
 /** Has to be asked for, which no request here does. */
 const SWITCHING_PROTOCOLS_STATUS = 101;
 
@@ -34,3 +37,28 @@
   }
   return { minorVersion: minorVersion === "1" ? 1 : 0, status };
 }
+
+/** A line of a head or of trailers. */
+export interface HeaderField {
+  /** The name in lower case. */
+  readonly name: string;
+  readonly value: string;
+}
+
+/**
+ * Parses a field of a head or of trailers. Throws a `ResponseSyntaxError` if it is
+ * none. A value that goes on in the next line is none.
+ *
+ * @example
+ * ```ts
+ * const { name, value } = parseHeaderField("Content-Length: 2");
+ * ```
+ * @param line - The line without its end, a character for each byte.
+ */
+export function parseHeaderField(line: string): HeaderField {
+  const [, name, value] = FIELD_LINE.exec(line) ?? [];
+  if (name === undefined || value === undefined) {
+    throw createResponseFault("a header field that is none", line);
+  }
+  return { name: name.toLowerCase(), value };
+}
--- a/packages/common/src/testing/response_bytes.ts
+++ b/packages/common/src/testing/response_bytes.ts
@@ -45,6 +45,25 @@
 ];
 /** What stands in the place of a line end. */
 const SPOILT_LINE_ENDS = ["\n", "\r", "\r\r\n", "\rx", "x\n", "\n\r"];
+const SPOILT_FIELDS = [
+  ...[...CONTROL_BYTES, " ", "\t", "\x80", "\xff", "(", '"', "/", "@"]
+    .flatMap((byte) => [`X${byte}A: b`, `XA${byte}: b`, `${byte}XA: b`]),
+  ...CONTROL_BYTES.map((byte) => `XA: b${byte}c`),
+  ": b",
+  "no colon here",
+  "XA",
+  " Transfer-Encoding: chunked",
+  ...SPOILT_LINE_ENDS.map((end) => `XA: b${end}XB: c`),
+];
+const RARE_FIELDS = [
+  "!#$%&'*+-.^_`|~09AZaz: all characters of names",
+  "XA:",
+  "XA: \t ",
+  "XA:b",
+  "XA: \tb\tc\t",
+  "XA: \x80\xff",
+  'XA: :;,"()<>@{}',
+];
 const EARLY = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
 
 /**
@@ -77,6 +96,26 @@
   ];
 }
 
+/**
+ * Lists responses that are no HTTP because of a field of their head, or of an
+ * informational one before it.
+ *
+ * @example
+ * ```ts
+ * const [spoilt] = listSpoiltFields({ headers: [], body: "a" });
+ * ```
+ * @param content - What each response holds.
+ */
+export function listSpoiltFields(
+  content: ResponseContent,
+): readonly ResponseBytes[] {
+  const sound = formatSound(content);
+  return [
+    ...SPOILT_FIELDS.map((line) => insertField(sound, line)),
+    ...SPOILT_FIELDS.map((line) => insertField(EARLY + sound, line)),
+  ];
+}
+
 /**
  * Lists rare responses that are HTTP and have to stay whole.
  *
@@ -92,6 +131,7 @@
   const sound = formatSound(content);
   return [
     ...RARE_STATUS_LINES.map((line) => toBytes(sound, { status: line })),
+    ...RARE_FIELDS.map((line) => insertField(sound, line)),
     ...[
       EARLY,
       EARLY + EARLY,
@@ -117,6 +157,14 @@
   return toTitled(sound.replace(SOUND_STATUS_LINE, () => status));
 }
 
+/** Inserts a line behind the first status line. */
+function insertField(text: string, line: string): ResponseBytes {
+  return {
+    title: JSON.stringify(line.slice(0, 60)),
+    text: text.replace("\r\n", () => `\r\n${line}\r\n`),
+  };
+}
+
 /** A head that is rare or spoilt is its own best title. */
 function toTitled(text: string): ResponseBytes {
   return { title: JSON.stringify(text.slice(0, 60)), text };
--- a/packages/common/test/http/response_scanner_test.ts
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -5,6 +5,7 @@
 import { ResponseScanner } from "../../src/http/response_scanner.ts";
 import {
   listRareResponses,
+  listSpoiltFields,
   listSpoiltStatusLines,
   type ResponseBytes,
 } from "../../src/testing/response_bytes.ts";
@@ -47,5 +48,6 @@
   }
 
   doTest("rejects status lines", listSpoiltStatusLines(CONTENT), false);
+  doTest("rejects fields", listSpoiltFields(CONTENT), false);
   doTest("accepts rare responses", listRareResponses(CONTENT), true);
 });
--- a/packages/common/test/http/response_syntax_guard_test.ts
+++ b/packages/common/test/http/response_syntax_guard_test.ts
@@ -8,6 +8,7 @@
 import { ResponseMemory } from "../../src/http/response_memory.ts";
 import {
   listRareResponses,
+  listSpoiltFields,
   listSpoiltStatusLines,
   type ResponseBytes,
 } from "../../src/testing/response_bytes.ts";
@@ -111,5 +112,6 @@
   }
 
   doTest("rejects status lines", listSpoiltStatusLines(CONTENT), "unknown");
+  doTest("rejects fields", listSpoiltFields(CONTENT), "unknown");
   doTest("returns rare responses", listRareResponses(CONTENT), CONTENT.body);
 });
