Reject responses whose head leaves a doubt on the end of the body

What callers saw: with a transfer coding that was empty, unknown or not the last one, the chunks came as the body, sizes included; a body that was said to be compressed came as it was; a 204 came with a body.

Cause: for such a head the parser falls back to reading until the connection ends, or drops what it does not know.

Ruled out: lengths that are signed, hexadecimal, lists, too large or twice there, and a length beside chunks: the parser rejects them, and the tests keep that.

Change: parseBodyFraming accepts one length, `chunked` or `identity` alone, or neither, and nothing where the status allows no body. It works on the fields as sent, as the parser hides which one it followed.

--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -210,7 +210,7 @@
 
   #addExchange(
     socket: Socket,
-    { exchangeId }: HttpRequest,
+    { exchangeId, method }: HttpRequest,
     { outgoing, watch }: {
       readonly outgoing: ClientRequest;
       readonly watch: RequestWatch;
@@ -219,6 +219,7 @@
     this.#history.addExchange(socket, exchangeId);
     this.#strayBytes.addRequest(socket, () => watch.abort("malformed"));
     this.#syntax.addRequest(socket, {
+      method,
       onFault: (error) => watch.abort("malformed", error),
     });
     outgoing.on("information", () => this.#strayBytes.setProgress(socket));
--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -6,15 +6,28 @@
  */
 import type { Buffer } from "node:buffer";
 import { CrlfReader } from "./crlf_reader.ts";
-import { parseHeaderField, parseStatusLine } from "./response_syntax.ts";
+import { parseBodyFraming } from "./response_framing.ts";
+import {
+  type HeaderField,
+  parseHeaderField,
+  parseStatusLine,
+  type StatusLine,
+} from "./response_syntax.ts";
 
 const FIRST_FINAL_STATUS = 200;
 
 /** Checks one response, whose bytes arrive in pieces. */
 export class ResponseScanner {
+  readonly #method: string;
   readonly #lines = new CrlfReader();
-  #part: "status-line" | "fields" | "body" = "status-line";
-  #status = 0;
+  #statusLine: StatusLine | undefined;
+  #fields: HeaderField[] = [];
+  #isInBody = false;
+
+  /** @param method - The method of the request. */
+  constructor(method: string) {
+    this.#method = method;
+  }
 
   /**
    * Checks the next bytes. Throws a `ResponseSyntaxError` at the first fault; the
@@ -24,7 +37,7 @@
    */
   checkBytes(bytes: Buffer): void {
     let offset = 0;
-    while (offset < bytes.length && this.#part !== "body") {
+    while (offset < bytes.length && !this.#isInBody) {
       const read = this.#lines.readLine(bytes, offset);
       offset = read.offset;
       if (read.line !== undefined) {
@@ -34,14 +47,19 @@
   }
 
   #checkLine(line: string): void {
-    if (this.#part === "status-line") {
-      this.#status = parseStatusLine(line).status;
-      this.#part = "fields";
+    if (this.#statusLine === undefined) {
+      this.#statusLine = parseStatusLine(line);
     } else if (line === "") {
-      const isFinal = this.#status >= FIRST_FINAL_STATUS;
-      this.#part = isFinal ? "body" : "status-line";
+      this.#finishHead(this.#statusLine);
     } else {
-      parseHeaderField(line);
+      this.#fields.push(parseHeaderField(line));
     }
   }
+
+  #finishHead(statusLine: StatusLine): void {
+    parseBodyFraming({ ...statusLine, fields: this.#fields }, this.#method);
+    this.#isInBody = statusLine.status >= FIRST_FINAL_STATUS;
+    this.#statusLine = undefined;
+    this.#fields = [];
+  }
 }
--- a/packages/common/src/http/response_syntax.ts
+++ b/packages/common/src/http/response_syntax.ts
@@ -7,9 +7,9 @@
 /** The space after the status is missing from some servers' lines without a reason; no reader takes them for anything else. */
 const STATUS_LINE =
   /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?$/;
-/** The blanks around a value do not belong to it. */
+/** The blanks around a value do not belong to it, but the parsers in use keep a tab behind it. */
 const FIELD_LINE =
-  /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
+  /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?) *$/;
 /** Has to be asked for, which no request here does. */
 const SWITCHING_PROTOCOLS_STATUS = 101;
 
--- a/packages/common/src/http/response_syntax_guard.ts
+++ b/packages/common/src/http/response_syntax_guard.ts
@@ -10,6 +10,7 @@
 
 /** The request that is sent on a connection. */
 export interface GuardedExchange {
+  readonly method: string;
   /** Called at the first byte that is no part of an HTTP response; must close the connection. */
   readonly onFault: (error: ResponseSyntaxError) => void;
 }
@@ -33,7 +34,7 @@
    */
   addRequest(socket: Socket, exchange: GuardedExchange): void {
     const state = this.#states.get(socket);
-    const scanner = new ResponseScanner();
+    const scanner = new ResponseScanner(exchange.method);
     if (state === undefined) {
       this.#addSocket(socket, { exchange, scanner, hasFault: false });
     } else {
--- a/packages/common/src/testing/response_bytes.ts
+++ b/packages/common/src/testing/response_bytes.ts
@@ -64,6 +64,22 @@
   "XA: \x80\xff",
   'XA: :;,"()<>@{}',
 ];
+/** Framings of a body in chunks. */
+const SPOILT_CODINGS = [
+  ...["", "gzip", "x", "chunke", "chunked, gzip", "chunked,", "chunked;q=1"],
+  ...["gzip, chunked", "chunked, chunked", "chunked\t", "\xffchunked"],
+  "gzip\r\nTransfer-Encoding: chunked",
+  "chunked\r\nTransfer-Encoding: chunked",
+  "chunked\r\nTransfer-Encoding: gzip",
+].map((value) => `Transfer-Encoding: ${value}`);
+/** Framings of a body of four bytes. */
+const SPOILT_LENGTHS = [
+  ...["+4", "-2", "0x4", "4.0", "", "4 4", "4, 4", "4;", "9".repeat(20)],
+  "4\r\nContent-Length: 4",
+  "4\r\nContent-Length: 5",
+  "4\r\nTransfer-Encoding: chunked",
+  "4\r\nTransfer-Encoding: identity",
+].map((value) => `Content-Length: ${value}`);
 const EARLY = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
 
 /**
@@ -116,6 +132,32 @@
   ];
 }
 
+/**
+ * Lists responses whose head leaves a doubt on where their body ends.
+ *
+ * @example
+ * ```ts
+ * const [spoilt] = listSpoiltFramings({ headers: [], body: "body" });
+ * ```
+ * @param content - What each response holds.
+ */
+export function listSpoiltFramings(
+  content: ResponseContent,
+): readonly ResponseBytes[] {
+  const { body } = content;
+  const chunks = formatChunks(body);
+  const chunked = toResponse(content, "Transfer-Encoding: chunked", chunks);
+  const sound = toResponse(content, formatLength(body), body);
+  return [
+    ...SPOILT_CODINGS.map((field) => toResponse(content, field, chunks)),
+    ...SPOILT_LENGTHS.map((field) => toResponse(content, field, body)),
+    toTitled(chunked.text.replace("1.1", "1.0")),
+    ...[sound, chunked].map(({ text }) => toTitled(text.replace("200", "204"))),
+    ...[`${formatLength(body)}`, "Transfer-Encoding: chunked"]
+      .map((field) => insertField(EARLY + sound.text, field)),
+  ];
+}
+
 /**
  * Lists rare responses that are HTTP and have to stay whole.
  *
@@ -132,6 +174,7 @@
   return [
     ...RARE_STATUS_LINES.map((line) => toBytes(sound, { status: line })),
     ...RARE_FIELDS.map((line) => insertField(sound, line)),
+    ...listRareFramings(content),
     ...[
       EARLY,
       EARLY + EARLY,
@@ -141,13 +184,45 @@
   ];
 }
 
-function formatSound({ headers, body }: ResponseContent): string {
-  const head = [
-    SOUND_STATUS_LINE,
-    ...headers,
-    `Content-Length: ${body.length}`,
+function listRareFramings(content: ResponseContent): readonly ResponseBytes[] {
+  const { body } = content;
+  const chunks = formatChunks(body);
+  return [
+    ...["CHUNKED", " \tchunked "].map((value) =>
+      toResponse(content, `Transfer-Encoding: ${value}`, chunks)
+    ),
+    ...[`000${body.length}`, ` \t${body.length} `].map((value) =>
+      toResponse(content, `Content-Length: ${value}`, body)
+    ),
+    toResponse(content, "Connection: close", body),
+    toResponse(content, "X-No: length", body),
+    toResponse(content, "Transfer-Encoding: identity", body),
   ];
-  return `${head.join("\r\n")}\r\n\r\n${body}`;
+}
+
+function formatSound(content: ResponseContent): string {
+  const { body } = content;
+  return toResponse(content, formatLength(body), body).text;
+}
+
+function formatLength({ length }: string): string {
+  return `Content-Length: ${length}`;
+}
+
+function formatChunks(body: string): string {
+  return `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+}
+
+function toResponse(
+  { headers }: ResponseContent,
+  framing: string,
+  bytes: string,
+): ResponseBytes {
+  const head = [SOUND_STATUS_LINE, ...headers, framing].join("\r\n");
+  return {
+    title: JSON.stringify(framing),
+    text: `${head}\r\n\r\n${bytes}`,
+  };
 }
 
 function toBytes(
--- a/packages/common/test/http/response_scanner_test.ts
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -6,6 +6,7 @@
 import {
   listRareResponses,
   listSpoiltFields,
+  listSpoiltFramings,
   listSpoiltStatusLines,
   type ResponseBytes,
 } from "../../src/testing/response_bytes.ts";
@@ -13,8 +14,12 @@
 const CONTENT = { headers: ["X-Signature: s"], body: "body" };
 
 /** Returns whether all bytes pass when they arrive in pieces of this size. */
-function isAccepted(text: string, pieceBytes: number): boolean {
-  const scanner = new ResponseScanner();
+function isAccepted(
+  text: string,
+  pieceBytes: number,
+  method = "GET",
+): boolean {
+  const scanner = new ResponseScanner(method);
   const bytes = Buffer.from(text, "latin1");
   try {
     for (let offset = 0; offset < bytes.length; offset += pieceBytes) {
@@ -49,5 +54,16 @@
 
   doTest("rejects status lines", listSpoiltStatusLines(CONTENT), false);
   doTest("rejects fields", listSpoiltFields(CONTENT), false);
+  doTest("rejects framings", listSpoiltFramings(CONTENT), false);
   doTest("accepts rare responses", listRareResponses(CONTENT), true);
+
+  it("accepts fields that frame a body where none follows", () => {
+    for (const framing of ["Content-Length: 4", "Transfer-Encoding: chunked"]) {
+      const head = `HTTP/1.1 304 Not Modified\r\n${framing}\r\n\r\n`;
+      assert.ok(isAccepted(head, 1));
+      assert.ok(isAccepted(head.replace("304", "200"), 1, "HEAD"));
+    }
+    const empty = "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n";
+    assert.ok(isAccepted(empty, 1));
+  });
 });
--- a/packages/common/test/http/response_syntax_guard_test.ts
+++ b/packages/common/test/http/response_syntax_guard_test.ts
@@ -9,6 +9,7 @@
 import {
   listRareResponses,
   listSpoiltFields,
+  listSpoiltFramings,
   listSpoiltStatusLines,
   type ResponseBytes,
 } from "../../src/testing/response_bytes.ts";
@@ -113,5 +114,6 @@
 
   doTest("rejects status lines", listSpoiltStatusLines(CONTENT), "unknown");
   doTest("rejects fields", listSpoiltFields(CONTENT), "unknown");
+  doTest("rejects framings", listSpoiltFramings(CONTENT), "unknown");
   doTest("returns rare responses", listRareResponses(CONTENT), CONTENT.body);
 });
