Reject responses whose chunks or trailers are not HTTP

What callers saw: a body whose chunks did not end where their sizes said, or whose trailers were no fields, came as whole.

Ruled out: sizes that are signed, hexadecimal, empty or too large, control bytes in chunk extensions and in trailers: the parser rejects them, and the tests keep that. The parsed trailers: they do not show the lines' ends.

Change: ChunkScanner checks chunks and trailers. A response whose reader already has it is recorded as broken, since at the close of the connection the parser takes a body without a length for complete.

The lists of responses moved to files of their own.

--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -11,14 +11,14 @@
   request,
 } from "node:http";
 import type { Socket } from "node:net";
-import { createPortError } from "../errors/port_error.ts";
 import { readBody } from "./body_reader.ts";
 import { ConnectionHistory } from "./connection_history.ts";
 import { RequestWatch } from "./request_watch.ts";
-import { followConnectionEnd } from "./response_completeness.ts";
+import { followConnectionEnd, setBroken } from "./response_completeness.ts";
 import type { ResponseMemory } from "./response_memory.ts";
 import { ResponseSyntaxGuard } from "./response_syntax_guard.ts";
 import { StrayByteGuard } from "./stray_byte_guard.ts";
+import { createUnsendableError } from "./unsendable_error.ts";
 import type {
   HttpAddress,
   HttpRequest,
@@ -218,9 +218,16 @@
   ): void {
     this.#history.addExchange(socket, exchangeId);
     this.#strayBytes.addRequest(socket, () => watch.abort("malformed"));
+    let response: IncomingMessage | undefined;
+    outgoing.on("response", (incoming) => response = incoming);
     this.#syntax.addRequest(socket, {
       method,
-      onFault: (error) => watch.abort("malformed", error),
+      onFault: (error) => {
+        if (response !== undefined) {
+          setBroken(response);
+        }
+        watch.abort("malformed", error);
+      },
     });
     outgoing.on("information", () => this.#strayBytes.setProgress(socket));
   }
@@ -232,19 +239,6 @@
   }
 }
 
-/** Node rejects characters that a path or a header can't hold. */
-function createUnsendableError(error: unknown, port: string): unknown {
-  return error instanceof TypeError
-    ? createPortError(`${port}: can't send a request: ${error.message}`, {
-      cause: error,
-      port,
-      operation: "send",
-      fault: "unsendable",
-      outcome: "not-run",
-    })
-    : error;
-}
-
 function hasBody({ method, body }: HttpRequest): boolean {
   return body !== undefined || method === "POST" || method === "PUT";
 }
--- a/packages/common/src/http/response_completeness.ts
+++ b/packages/common/src/http/response_completeness.ts
@@ -8,9 +8,24 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 
-/** Responses whose connection was reset or failed before they were complete. */
+/** Responses that can't be complete any more. */
 const BROKEN_RESPONSES = new WeakSet<IncomingMessage>();
 
+/**
+ * Records that a response is broken, whatever its parser makes of its end.
+ *
+ * @example
+ * ```ts
+ * declare const response: import("node:http").IncomingMessage;
+ *
+ * setBroken(response);
+ * ```
+ * @param response - The response.
+ */
+export function setBroken(response: IncomingMessage): void {
+  BROKEN_RESPONSES.add(response);
+}
+
 /**
  * Watches how the connection of a response ends; must be called as soon as the
  * response head has arrived.
@@ -31,7 +46,7 @@
   // A response that is complete before its connection ends is not affected.
   const addIfIncomplete = () => {
     if (!response.complete) {
-      BROKEN_RESPONSES.add(response);
+      setBroken(response);
     }
   };
   const addIfReset = () => {
--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { ChunkScanner } from "./chunk_scanner.ts";
 import { CrlfReader } from "./crlf_reader.ts";
 import { parseBodyFraming } from "./response_framing.ts";
 import {
@@ -23,6 +24,7 @@
   #statusLine: StatusLine | undefined;
   #fields: HeaderField[] = [];
   #isInBody = false;
+  #chunks: ChunkScanner | undefined;
 
   /** @param method - The method of the request. */
   constructor(method: string) {
@@ -44,6 +46,7 @@
         this.#checkLine(read.line);
       }
     }
+    this.#chunks?.checkBytes(bytes, offset);
   }
 
   #checkLine(line: string): void {
@@ -57,8 +60,10 @@
   }
 
   #finishHead(statusLine: StatusLine): void {
-    parseBodyFraming({ ...statusLine, fields: this.#fields }, this.#method);
+    const head = { ...statusLine, fields: this.#fields };
+    const { kind } = parseBodyFraming(head, this.#method);
     this.#isInBody = statusLine.status >= FIRST_FINAL_STATUS;
+    this.#chunks = kind === "chunked" ? new ChunkScanner() : undefined;
     this.#statusLine = undefined;
     this.#fields = [];
   }
--- /dev/null
+++ b/packages/common/src/testing/spoilt_bodies.ts
@@ -0,0 +1,107 @@
+/**
+ * Lists responses whose body has no certain end.
+ * @module
+ */
+import {
+  createFramed,
+  createTitled,
+  EARLY,
+  formatChunks,
+  formatSound,
+  insertLine,
+  type ResponseBytes,
+  type ResponseContent,
+  SPOILT_LINE_ENDS,
+} from "./response_bytes.ts";
+
+const CHUNKED = "Transfer-Encoding: chunked";
+/** Framings of a body in chunks. */
+const SPOILT_CODINGS = [
+  ...["", "gzip", "x", "chunke", "chunked, gzip", "chunked,", "chunked;q=1"],
+  ...["gzip, chunked", "chunked, chunked", "chunked\t", "\xffchunked"],
+  ...["gzip\r\nTransfer-Encoding: chunked"],
+  ...["chunked\r\nTransfer-Encoding: chunked"],
+  ...["chunked\r\nTransfer-Encoding: gzip"],
+].map((value) => `Transfer-Encoding: ${value}`);
+/** Framings of a body whose length is N. */
+const SPOILT_LENGTHS = [
+  ...["+N", "-N", "0xN", "N.0", "", "N N", "N, N", "N;", "9".repeat(20)],
+  ...["N\r\nContent-Length: N", "N\r\nContent-Length: 5"],
+  ...[`N\r\n${CHUNKED}`, "N\r\nTransfer-Encoding: identity"],
+].map((value) => `Content-Length: ${value}`);
+/** First lines of chunks whose size is N. */
+const SPOILT_SIZES = [
+  ...["-N", "0xN", "", " N", "N ", "g", "N;\x01", "N;\x7f", "N x"],
+  ...["f".repeat(17), ";a", "1"],
+];
+const SPOILT_TRAILERS = [
+  ...["X A: b", ": b", "XA : b", "XA", "X\x01A: b", "XA: b\x00", " XA: b"],
+  ...["XA: b\r\n c", "Content-Length: 4", "Transfer-Encoding: gzip"],
+  "Content-Encoding: gzip",
+  ...SPOILT_LINE_ENDS.map((end) => `XA: b${end}XB: c`),
+];
+
+/**
+ * Lists responses whose head leaves a doubt on where their body ends.
+ *
+ * @example
+ * ```ts
+ * const [spoilt] = listSpoiltFramings({ headers: [], body: "body" });
+ * ```
+ * @param content - What each response holds.
+ */
+export function listSpoiltFramings(
+  content: ResponseContent,
+): readonly ResponseBytes[] {
+  const length = String(content.body.length);
+  const inChunks = { ...content, body: formatChunks(content.body) };
+  const sound = formatSound(content);
+  const chunked = createFramed(inChunks, CHUNKED).text;
+  return [
+    ...SPOILT_CODINGS.map((field) => createFramed(inChunks, field)),
+    ...SPOILT_LENGTHS.map((field) =>
+      createFramed(content, field.replaceAll("N", length))
+    ),
+    createTitled(chunked.replace("1.1", "1.0")),
+    createTitled(sound.replace("200", "204")),
+    createTitled(chunked.replace("200", "204")),
+    insertLine(EARLY + sound, `Content-Length: ${length}`),
+    insertLine(EARLY + sound, CHUNKED),
+  ];
+}
+
+/**
+ * Lists responses whose chunks or trailers are none.
+ *
+ * @example
+ * ```ts
+ * const [spoilt] = listSpoiltChunks({ headers: [], body: "body" });
+ * ```
+ * @param content - What each response holds.
+ */
+export function listSpoiltChunks(
+  content: ResponseContent,
+): readonly ResponseBytes[] {
+  const sound = formatChunks(content.body);
+  const size = content.body.length.toString(16);
+  const rest = sound.slice(size.length);
+  return [
+    ...SPOILT_SIZES.map((line) => line.replace("N", size) + rest),
+    ...SPOILT_TRAILERS.map((line) =>
+      sound.slice(0, -"\r\n".length) + `${line}\r\n\r\n`
+    ),
+    ...listSpoiltEnds(sound),
+  ].map((chunks) => {
+    const { text } = createFramed({ ...content, body: chunks }, CHUNKED);
+    return createTitled(text, chunks);
+  });
+}
+
+/** Lists chunks with one line end that is none. */
+function listSpoiltEnds(chunks: string): readonly string[] {
+  return [...chunks.matchAll(/\r\n/g)].flatMap(({ index }) =>
+    SPOILT_LINE_ENDS.map((end) =>
+      chunks.slice(0, index) + end + chunks.slice(index + 2)
+    )
+  ).filter((spoilt) => !chunks.startsWith(spoilt));
+}
--- a/packages/common/test/http/response_scanner_test.ts
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -3,13 +3,16 @@
 import { describe, it } from "node:test";
 import { ResponseSyntaxError } from "../../src/errors/errors.ts";
 import { ResponseScanner } from "../../src/http/response_scanner.ts";
+import { listRareResponses } from "../../src/testing/rare_responses.ts";
+import type { ResponseBytes } from "../../src/testing/response_bytes.ts";
 import {
-  listRareResponses,
-  listSpoiltFields,
+  listSpoiltChunks,
   listSpoiltFramings,
+} from "../../src/testing/spoilt_bodies.ts";
+import {
+  listSpoiltFields,
   listSpoiltStatusLines,
-  type ResponseBytes,
-} from "../../src/testing/response_bytes.ts";
+} from "../../src/testing/spoilt_heads.ts";
 
 const CONTENT = { headers: ["X-Signature: s"], body: "body" };
 
@@ -55,6 +58,7 @@
   doTest("rejects status lines", listSpoiltStatusLines(CONTENT), false);
   doTest("rejects fields", listSpoiltFields(CONTENT), false);
   doTest("rejects framings", listSpoiltFramings(CONTENT), false);
+  doTest("rejects chunks", listSpoiltChunks(CONTENT), false);
   doTest("accepts rare responses", listRareResponses(CONTENT), true);
 
   it("accepts fields that frame a body where none follows", () => {
--- a/packages/common/test/http/response_syntax_guard_test.ts
+++ b/packages/common/test/http/response_syntax_guard_test.ts
@@ -6,13 +6,16 @@
 import { PortError } from "../../src/errors/errors.ts";
 import { HttpSender } from "../../src/http/http_sender.ts";
 import { ResponseMemory } from "../../src/http/response_memory.ts";
+import { listRareResponses } from "../../src/testing/rare_responses.ts";
+import type { ResponseBytes } from "../../src/testing/response_bytes.ts";
 import {
-  listRareResponses,
-  listSpoiltFields,
+  listSpoiltChunks,
   listSpoiltFramings,
+} from "../../src/testing/spoilt_bodies.ts";
+import {
+  listSpoiltFields,
   listSpoiltStatusLines,
-  type ResponseBytes,
-} from "../../src/testing/response_bytes.ts";
+} from "../../src/testing/spoilt_heads.ts";
 
 const CONTENT = { headers: ["X-Signature: s"], body: "body" };
 const SOUND = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound";
@@ -115,5 +118,6 @@
   doTest("rejects status lines", listSpoiltStatusLines(CONTENT), "unknown");
   doTest("rejects fields", listSpoiltFields(CONTENT), "unknown");
   doTest("rejects framings", listSpoiltFramings(CONTENT), "unknown");
+  doTest("rejects chunks", listSpoiltChunks(CONTENT), "unknown");
   doTest("returns rare responses", listRareResponses(CONTENT), CONTENT.body);
 });
