Reject responses that are said to be encoded

What callers saw: a response with Content-Encoding came as sound, its body as it was, which is not the server's by the protocol of the platform.

Cause: nothing looked at the field.

Ruled out: that a request of a host asks for an encoding; PROTOCOL.md says that clients request bodies without any.

Change: throwIfEncoded, for every head; the connection is closed as for any other fault of a head.

--- a/packages/common/src/http/response_framing.ts
+++ b/packages/common/src/http/response_framing.ts
@@ -23,6 +23,24 @@
   | { readonly kind: "chunked" }
   | { readonly kind: "connection" };
 
+/**
+ * Throws a `ResponseSyntaxError` if the body of a response is said to be encoded,
+ * as no request asks for an encoding, and a reader would take it as it is.
+ *
+ * @example
+ * ```ts
+ * throwIfEncoded({ minorVersion: 1, status: 200, fields: [] });
+ * ```
+ * @param head - The head of the response.
+ */
+export function throwIfEncoded(head: ResponseHead): void {
+  const [encoding] = listValues(head, "content-encoding");
+  if (encoding !== undefined) {
+    const found = "a content encoding that was not asked for";
+    throw createResponseFault(found, `${head.status} ${encoding}`);
+  }
+}
+
 /**
  * Parses the fields that frame the body of a response. Throws a
  * `ResponseSyntaxError` if they are malformed, contradict each other or name a
--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -7,7 +7,7 @@
 import type { Buffer } from "node:buffer";
 import { ChunkScanner } from "./chunk_scanner.ts";
 import { CrlfReader } from "./crlf_reader.ts";
-import { parseBodyFraming } from "./response_framing.ts";
+import { parseBodyFraming, throwIfEncoded } from "./response_framing.ts";
 import {
   type HeaderField,
   parseHeaderField,
@@ -61,6 +61,7 @@
 
   #finishHead(statusLine: StatusLine): void {
     const head = { ...statusLine, fields: this.#fields };
+    throwIfEncoded(head);
     const { kind } = parseBodyFraming(head, this.#method);
     this.#isInBody = statusLine.status >= FIRST_FINAL_STATUS;
     this.#chunks = kind === "chunked" ? new ChunkScanner() : undefined;
--- a/packages/common/src/testing/spoilt_bodies.ts
+++ b/packages/common/src/testing/spoilt_bodies.ts
@@ -70,6 +70,24 @@
   ];
 }
 
+/**
+ * Lists responses whose body is said to be encoded, which no request asks for.
+ *
+ * @example
+ * ```ts
+ * const [encoded] = listEncodedResponses({ headers: [], body: "body" });
+ * ```
+ * @param content - What each response holds.
+ */
+export function listEncodedResponses(
+  content: ResponseContent,
+): readonly ResponseBytes[] {
+  const sound = formatSound(content);
+  return ["gzip", "identity", "", "x, y"].map((encoding) =>
+    insertLine(sound, `content-Encoding: ${encoding}`)
+  );
+}
+
 /**
  * Lists responses whose chunks or trailers are none.
  *
--- a/packages/common/test/http/response_scanner_test.ts
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -6,6 +6,7 @@
 import { listRareResponses } from "../../src/testing/rare_responses.ts";
 import type { ResponseBytes } from "../../src/testing/response_bytes.ts";
 import {
+  listEncodedResponses,
   listSpoiltChunks,
   listSpoiltFramings,
 } from "../../src/testing/spoilt_bodies.ts";
@@ -59,6 +60,7 @@
   doTest("rejects fields", listSpoiltFields(CONTENT), false);
   doTest("rejects framings", listSpoiltFramings(CONTENT), false);
   doTest("rejects chunks", listSpoiltChunks(CONTENT), false);
+  doTest("rejects encodings", listEncodedResponses(CONTENT), false);
   doTest("accepts rare responses", listRareResponses(CONTENT), true);
 
   it("accepts fields that frame a body where none follows", () => {
--- a/packages/common/test/http/response_syntax_guard_test.ts
+++ b/packages/common/test/http/response_syntax_guard_test.ts
@@ -9,6 +9,7 @@
 import { listRareResponses } from "../../src/testing/rare_responses.ts";
 import type { ResponseBytes } from "../../src/testing/response_bytes.ts";
 import {
+  listEncodedResponses,
   listSpoiltChunks,
   listSpoiltFramings,
 } from "../../src/testing/spoilt_bodies.ts";
@@ -119,5 +120,6 @@
   doTest("rejects fields", listSpoiltFields(CONTENT), "unknown");
   doTest("rejects framings", listSpoiltFramings(CONTENT), "unknown");
   doTest("rejects chunks", listSpoiltChunks(CONTENT), "unknown");
+  doTest("rejects encodings", listEncodedResponses(CONTENT), "unknown");
   doTest("returns rare responses", listRareResponses(CONTENT), CONTENT.body);
 });
