Return all fields of a response head

What callers saw: of a head with 3,000 short fields those behind the first thousand or so were missing, a signature or a limit among them.

Cause: the runtime's parser keeps a limited number of fields and drops the others without an error.

Ruled out: the limit of 16 KiB for a head, which the head keeps.

Change: the senders of a host ask for all fields; their bytes are limited already.

Measured: the new test of HttpSender fails before (the field behind the 3,000th is undefined), passes now.

--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -155,7 +155,7 @@
       ? ["Content-Length", String(body?.length ?? 0)]
       : [];
     try {
-      return request({
+      const outgoing = request({
         agent: this.#agent,
         host: address.hostname,
         port: address.port,
@@ -164,6 +164,9 @@
         headers: [...headers, ...length] as unknown as Record<string, string>,
         setHost: false,
       });
+      // The size of a head is limited; fields beyond a count would be dropped unseen.
+      outgoing.maxHeadersCount = 0;
+      return outgoing;
     } catch (error) {
       throw createUnsendableError(error, this.#options.port);
     }
--- a/packages/common/test/http/http_sender_test.ts
+++ b/packages/common/test/http/http_sender_test.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { describe, it } from "node:test";
 import { PortError } from "../../src/errors/errors.ts";
+import type { HttpResponse } from "../../src/http/http_exchange.ts";
 import { HttpSender } from "../../src/http/http_sender.ts";
 import { ResponseMemory } from "../../src/http/response_memory.ts";
 
@@ -47,10 +48,19 @@
 }
 
 /** Sends a request to a server that handles its connection in this way; returns the body or the error. */
-async function sendTo(
+function sendTo(
   handle: (socket: Socket) => void,
   method = "GET",
 ): Promise<unknown> {
+  return requestOnce(handle, method)
+    .then(({ body }) => body.toString(), (error: unknown) => error);
+}
+
+/** Sends a request to a server that handles its connection in this way. */
+async function requestOnce(
+  handle: (socket: Socket) => void,
+  method = "GET",
+): Promise<HttpResponse> {
   const server = createServer({ pauseOnConnect: true }, (socket) => {
     socket.on("error", () => undefined);
     // The request has arrived by then.
@@ -66,16 +76,16 @@
     memory: new ResponseMemory({ limitBytes: 1_000_000 }),
   });
   const { port } = server.address() as AddressInfo;
-  const result = await sender.send({
+  return await sender.send({
     address: { hostname: "127.0.0.1", port },
     method,
     path: "/",
     headers: ["Host", "a"],
     headTimeoutMs: 500,
-  }, 500).then(({ body }) => body.toString(), (error: unknown) => error);
-  sender.close();
-  server.close();
-  return result;
+  }, 500).finally(() => {
+    sender.close();
+    server.close();
+  });
 }
 
 describe("HttpSender.send with a response that ends early", () => {
@@ -165,4 +175,15 @@
     const early = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(3);
     assert.equal(await sendOnce(early + ANSWER, "closed"), "answer");
   });
+
+  /** Fields behind the first thousand or so were dropped unseen, such as a signature or a limit. */
+  it("returns all fields of a head that is within its limit in bytes", async () => {
+    const fields = "a:\r\n".repeat(3_000);
+    const bytes = ANSWER.replace("X-Signature", `${fields}X-Signature`);
+    const response = await requestOnce(
+      (socket) => socket.on("data", () => socket.end(bytes)).resume(),
+    );
+    assert.equal(response.headers["x-signature"], "s");
+    assert.equal(response.rawHeaders.length, 2 * 3_002);
+  });
 });
