Reject chunks that the head of the response does not name

What callers saw: with one letter of Transfer-Encoding spoilt, a response that ended with its connection came as sound, the sizes of its chunks as a part of the body.

Cause: such a head frames no body, so that it is HTTP by its bytes.

Ruled out: requiring Connection: close of a body that ends with its connection.

Change: UnframedBodyScanner rejects a misspelt name of the coding, a body that consists of chunks up to its end, and an event stream that begins with the size of one.

--- a/packages/common/src/http/chunk_scanner.ts
+++ b/packages/common/src/http/chunk_scanner.ts
@@ -23,12 +23,18 @@
   #part: "size" | "data" | "data-end" | "trailers" | "complete" = "size";
   /** The bytes of the data, or of its end, that have not arrived. */
   #missingBytes = 0;
+  #chunkCount = 0;
 
   /** Whether the whole body has arrived. */
   get isComplete(): boolean {
     return this.#part === "complete";
   }
 
+  /** Whether the size of a chunk has arrived. */
+  get hasChunk(): boolean {
+    return this.#chunkCount > 0;
+  }
+
   /**
    * Checks the next bytes. Throws a `ResponseSyntaxError` at the first fault. Bytes
    * behind the body are not checked.
@@ -92,6 +98,7 @@
     if (digits === undefined) {
       throw createResponseFault("a chunk size that is none", line);
     }
+    this.#chunkCount++;
     this.#missingBytes = Number.parseInt(digits, 16);
     this.#part = this.#missingBytes === 0 ? "trailers" : "data";
   }
--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -14,6 +14,7 @@
   parseStatusLine,
   type StatusLine,
 } from "./response_syntax.ts";
+import { UnframedBodyScanner } from "./unframed_body_scanner.ts";
 
 const FIRST_FINAL_STATUS = 200;
 
@@ -24,7 +25,7 @@
   #statusLine: StatusLine | undefined;
   #fields: HeaderField[] = [];
   #isInBody = false;
-  #chunks: ChunkScanner | undefined;
+  #body: ChunkScanner | UnframedBodyScanner | undefined;
 
   /** @param method - The method of the request. */
   constructor(method: string) {
@@ -46,7 +47,14 @@
         this.#checkLine(read.line);
       }
     }
-    this.#chunks?.checkBytes(bytes, offset);
+    this.#body?.checkBytes(bytes, offset);
+  }
+
+  /** Checks a response whose connection has ended. Throws a `ResponseSyntaxError` if its body is none. */
+  finish(): void {
+    if (this.#body instanceof UnframedBodyScanner) {
+      this.#body.finish();
+    }
   }
 
   #checkLine(line: string): void {
@@ -64,8 +72,12 @@
     throwIfEncoded(head);
     const { kind } = parseBodyFraming(head, this.#method);
     this.#isInBody = statusLine.status >= FIRST_FINAL_STATUS;
-    this.#chunks = kind === "chunked" ? new ChunkScanner() : undefined;
     this.#statusLine = undefined;
     this.#fields = [];
+    if (kind === "chunked") {
+      this.#body = new ChunkScanner();
+    } else if (kind === "connection") {
+      this.#body = new UnframedBodyScanner(head);
+    }
   }
 }
--- a/packages/common/src/http/response_syntax_guard.ts
+++ b/packages/common/src/http/response_syntax_guard.ts
@@ -52,11 +52,13 @@
 
 /** Returns whether the parser may read a chunk; the end of a connection is null. */
 function checkChunk(state: ConnectionState, chunk: unknown): boolean {
-  if (state.hasFault || !Buffer.isBuffer(chunk)) {
-    return !state.hasFault;
+  if (state.hasFault) {
+    return false;
   }
   try {
-    state.scanner.checkBytes(chunk);
+    Buffer.isBuffer(chunk)
+      ? state.scanner.checkBytes(chunk)
+      : state.scanner.finish();
   } catch (error) {
     if (!(error instanceof ResponseSyntaxError)) {
       throw error;
--- /dev/null
+++ b/packages/common/src/http/unframed_body_scanner.ts
@@ -0,0 +1,91 @@
+/**
+ * Checks bodies that end with their connection. A head whose `Transfer-Encoding` was
+ * lost or misspelt frames no body, and the chunks would be read as the body, sizes
+ * included; docs/incidents/spoilt_heads.md says what tells such a body apart.
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import { ResponseSyntaxError } from "../errors/errors.ts";
+import { ChunkScanner } from "./chunk_scanner.ts";
+import { createResponseFault } from "./response_fault.ts";
+import type { ResponseHead } from "./response_framing.ts";
+
+const CODING_FIELD = "transfer-encoding";
+const MAX_MISSPELT_CHARACTERS = 2;
+const EVENT_STREAM = /^text\/event-stream\b/i;
+
+/** Checks one body, whose bytes arrive in pieces. */
+export class UnframedBodyScanner {
+  readonly #isEventStream: boolean;
+  #chunks: ChunkScanner | undefined = new ChunkScanner();
+
+  /**
+   * @param head - The head of the response. Throws a `ResponseSyntaxError` if it
+   * names chunks by a misspelt field.
+   */
+  constructor(head: ResponseHead) {
+    throwIfMisspelt(head);
+    this.#isEventStream = head.fields.some(({ name, value }) =>
+      name === "content-type" && EVENT_STREAM.test(value)
+    );
+  }
+
+  /**
+   * Checks the next bytes. Throws a `ResponseSyntaxError` if an event stream begins
+   * with a chunk size, which is no line of one.
+   *
+   * @param bytes - The bytes that have arrived.
+   * @param offset - The offset of the first byte to check.
+   */
+  checkBytes(bytes: Buffer, offset: number): void {
+    try {
+      this.#chunks?.checkBytes(bytes, offset);
+    } catch (error) {
+      if (!(error instanceof ResponseSyntaxError)) {
+        throw error;
+      }
+      // Bytes that are no chunks are what a sound body consists of.
+      this.#chunks = undefined;
+    }
+    if (this.#isEventStream && this.#chunks?.hasChunk === true) {
+      throw createUnnamedChunksFault();
+    }
+  }
+
+  /** Throws a `ResponseSyntaxError` if the body consists of chunks up to the last one. */
+  finish(): void {
+    if (this.#chunks?.isComplete === true) {
+      throw createUnnamedChunksFault();
+    }
+  }
+}
+
+function throwIfMisspelt({ fields }: ResponseHead): void {
+  for (const { name, value } of fields) {
+    if (value.toLowerCase() === "chunked" && isMisspeltCoding(name)) {
+      throw createResponseFault("chunks by a misspelt field", name);
+    }
+  }
+}
+
+/** Returns whether a name differs from that of the field by a few characters, or one is missing or added. */
+function isMisspeltCoding(name: string): boolean {
+  if (name.length === CODING_FIELD.length) {
+    const differing = [...name].filter((character, index) =>
+      character !== CODING_FIELD[index]
+    );
+    return differing.length <= MAX_MISSPELT_CHARACTERS;
+  }
+  return hasOneMore(CODING_FIELD, name) || hasOneMore(name, CODING_FIELD);
+}
+
+/** Returns whether a text becomes another one without one of its characters. */
+function hasOneMore(text: string, other: string): boolean {
+  return [...text].some((_, index) =>
+    text.slice(0, index) + text.slice(index + 1) === other
+  );
+}
+
+function createUnnamedChunksFault(): ResponseSyntaxError {
+  return createResponseFault("chunks that the head does not name", "");
+}
--- a/packages/common/src/testing/rare_responses.ts
+++ b/packages/common/src/testing/rare_responses.ts
@@ -35,7 +35,7 @@
 /** Framings of a body whose length is N, or that ends with its connection. */
 const FRAMINGS = [
   ...["Content-Length: 000N", "Content-Length:  \tN ", "Connection: close"],
-  ...["X-No: length", "Transfer-Encoding: identity"],
+  ...["X-No: length", "Transfer-Encoding: identity", "X-Coding: chunked"],
 ];
 const INFORMATIONAL = [
   EARLY,
--- a/packages/common/src/testing/spoilt_bodies.ts
+++ b/packages/common/src/testing/spoilt_bodies.ts
@@ -88,6 +88,30 @@
   );
 }
 
+/**
+ * Lists responses in chunks that the head does not name, as the name of the field is
+ * misspelt or the line is another one.
+ *
+ * @example
+ * ```ts
+ * const [unnamed] = listUnnamedChunks({ headers: [], body: "body" });
+ * ```
+ * @param content - What each response holds.
+ */
+export function listUnnamedChunks(
+  content: ResponseContent,
+): readonly ResponseBytes[] {
+  const inChunks = { ...content, body: formatChunks(content.body) };
+  return [
+    ...["Transfer-Encodinh", "Xransfer-Encoding", "Transfer-Encodng"],
+    ...["Transfer_Encoding", "TransferXX-Encoding"],
+  ].flatMap((name) =>
+    ["Connection: close", "Connection: keep-alive"].map((field) =>
+      createFramed(inChunks, `${name}: chunked\r\n${field}`)
+    )
+  );
+}
+
 /**
  * Lists responses whose chunks or trailers are none.
  *
--- a/packages/common/test/http/response_scanner_test.ts
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -9,6 +9,7 @@
   listEncodedResponses,
   listSpoiltChunks,
   listSpoiltFramings,
+  listUnnamedChunks,
 } from "../../src/testing/spoilt_bodies.ts";
 import {
   listSpoiltFields,
@@ -29,6 +30,7 @@
     for (let offset = 0; offset < bytes.length; offset += pieceBytes) {
       scanner.checkBytes(bytes.subarray(offset, offset + pieceBytes));
     }
+    scanner.finish();
     return true;
   } catch (error) {
     assert.ok(error instanceof ResponseSyntaxError, String(error));
@@ -61,6 +63,7 @@
   doTest("rejects framings", listSpoiltFramings(CONTENT), false);
   doTest("rejects chunks", listSpoiltChunks(CONTENT), false);
   doTest("rejects encodings", listEncodedResponses(CONTENT), false);
+  doTest("rejects unnamed chunks", listUnnamedChunks(CONTENT), false);
   doTest("accepts rare responses", listRareResponses(CONTENT), true);
 
   it("accepts fields that frame a body where none follows", () => {
@@ -72,4 +75,17 @@
     const empty = "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n";
     assert.ok(isAccepted(empty, 1));
   });
+
+  it("accepts a body without a length that only begins like chunks", () => {
+    const head = "HTTP/1.1 200 OK\r\n\r\n";
+    for (const body of ["1\r\n2\r\n3\r\n", "0\r\n", "4\r\nbody\r\n"]) {
+      assert.ok(isAccepted(head + body, 1), body);
+    }
+  });
+
+  it("rejects an event stream at the first chunk that the head does not name", () => {
+    const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    assert.equal(isAccepted(`${head}9\r\ndata`, 1), false);
+    assert.ok(isAccepted(`${head}data: 9\r\n\r\n`, 1));
+  });
 });
--- a/packages/common/test/http/response_syntax_guard_test.ts
+++ b/packages/common/test/http/response_syntax_guard_test.ts
@@ -12,6 +12,7 @@
   listEncodedResponses,
   listSpoiltChunks,
   listSpoiltFramings,
+  listUnnamedChunks,
 } from "../../src/testing/spoilt_bodies.ts";
 import {
   listSpoiltFields,
@@ -121,5 +122,6 @@
   doTest("rejects framings", listSpoiltFramings(CONTENT), "unknown");
   doTest("rejects chunks", listSpoiltChunks(CONTENT), "unknown");
   doTest("rejects encodings", listEncodedResponses(CONTENT), "unknown");
+  doTest("rejects unnamed chunks", listUnnamedChunks(CONTENT), "unknown");
   doTest("returns rare responses", listRareResponses(CONTENT), CONTENT.body);
 });
