Pass on what arrives before a fault of a response

Cause: the guard dropped the whole read in which a fault stood.

What a reader gets must not depend on how the bytes are cut into reads.

Change: the scanner says how many bytes stand before the fault; these still reach the parser, and the connection is closed behind them.

--- a/packages/common/src/http/chunk_scanner.ts
+++ b/packages/common/src/http/chunk_scanner.ts
@@ -36,22 +36,17 @@
   }
 
   /**
-   * Checks the next bytes. Throws a `ResponseSyntaxError` at the first fault. Bytes
-   * behind the body are not checked.
+   * Checks the next part of the body, such as a line, and returns the offset behind
+   * it. Throws a `ResponseSyntaxError` if the part is a fault. Bytes behind the body
+   * are not checked.
    *
    * @param bytes - The bytes that have arrived.
    * @param offset - The offset of the first byte to check.
    */
-  checkBytes(bytes: Buffer, offset: number): void {
-    let next = offset;
-    while (next < bytes.length && !this.isComplete) {
-      next = this.#checkPart(bytes, next);
-    }
-  }
-
-  /** Returns the offset of the first byte that was not checked. */
-  #checkPart(bytes: Buffer, offset: number): number {
+  checkPart(bytes: Buffer, offset: number): number {
     switch (this.#part) {
+      case "complete":
+        return bytes.length;
       case "data":
         return this.#readData(bytes, offset);
       case "data-end":
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -226,10 +226,13 @@
     this.#syntax.addRequest(socket, {
       method,
       onFault: (error) => {
-        if (response !== undefined) {
+        if (response === undefined) {
+          watch.abort("malformed", error);
+        } else {
+          // Its reader may still read what arrived before the fault.
           setBroken(response);
+          socket.destroy();
         }
-        watch.abort("malformed", error);
       },
     });
     outgoing.on("information", () => this.#strayBytes.setProgress(socket));
--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { ResponseSyntaxError } from "../errors/errors.ts";
 import { ChunkScanner } from "./chunk_scanner.ts";
 import { CrlfReader } from "./crlf_reader.ts";
 import { parseBodyFraming, throwIfEncoded } from "./response_framing.ts";
@@ -25,6 +26,7 @@
   #statusLine: StatusLine | undefined;
   #fields: HeaderField[] = [];
   #isInBody = false;
+  #fault: ResponseSyntaxError | undefined;
   #body: ChunkScanner | UnframedBodyScanner | undefined;
 
   /** @param method - The method of the request. */
@@ -32,29 +34,56 @@
     this.#method = method;
   }
 
+  /** The first fault that was found; nothing that follows it is checked. */
+  get fault(): ResponseSyntaxError | undefined {
+    return this.#fault;
+  }
+
   /**
-   * Checks the next bytes. Throws a `ResponseSyntaxError` at the first fault; the
-   * bytes must then not be passed on to a parser.
+   * Checks the next bytes and returns how many of them may be passed on to a parser:
+   * all, or those before the first fault.
    *
    * @param bytes - The bytes.
    */
-  checkBytes(bytes: Buffer): void {
+  checkBytes(bytes: Buffer): number {
     let offset = 0;
-    while (offset < bytes.length && !this.#isInBody) {
-      const read = this.#lines.readLine(bytes, offset);
-      offset = read.offset;
-      if (read.line !== undefined) {
-        this.#checkLine(read.line);
+    this.#recordFault(() => {
+      while (offset < bytes.length) {
+        offset = this.#checkPart(bytes, offset);
       }
-    }
-    this.#body?.checkBytes(bytes, offset);
+    });
+    return offset;
   }
 
-  /** Checks a response whose connection has ended. Throws a `ResponseSyntaxError` if its body is none. */
+  /** Checks a response whose connection has ended. */
   finish(): void {
-    if (this.#body instanceof UnframedBodyScanner) {
-      this.#body.finish();
+    const body = this.#body;
+    if (body instanceof UnframedBodyScanner) {
+      this.#recordFault(() => body.finish());
+    }
+  }
+
+  #recordFault(check: () => void): void {
+    try {
+      check();
+    } catch (error) {
+      if (!(error instanceof ResponseSyntaxError)) {
+        throw error;
+      }
+      this.#fault = error;
+    }
+  }
+
+  /** Returns the offset of the first byte that was not checked. */
+  #checkPart(bytes: Buffer, offset: number): number {
+    if (this.#isInBody) {
+      return this.#body?.checkPart(bytes, offset) ?? bytes.length;
+    }
+    const read = this.#lines.readLine(bytes, offset);
+    if (read.line !== undefined) {
+      this.#checkLine(read.line);
     }
+    return read.offset;
   }
 
   #checkLine(line: string): void {
--- a/packages/common/src/http/response_syntax_guard.ts
+++ b/packages/common/src/http/response_syntax_guard.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
-import { ResponseSyntaxError } from "../errors/errors.ts";
+import type { ResponseSyntaxError } from "../errors/errors.ts";
 import { ResponseScanner } from "./response_scanner.ts";
 
 /** The request that is sent on a connection. */
@@ -18,7 +18,8 @@
 interface ConnectionState {
   exchange: GuardedExchange;
   scanner: ResponseScanner;
-  hasFault: boolean;
+  /** Whether a fault has been reported; nothing passes from then on. */
+  isReported: boolean;
 }
 
 /** Checks the responses on connections that carry one request at a time. */
@@ -36,7 +37,7 @@
     const state = this.#states.get(socket);
     const scanner = new ResponseScanner(exchange.method);
     if (state === undefined) {
-      this.#addSocket(socket, { exchange, scanner, hasFault: false });
+      this.#addSocket(socket, { exchange, scanner, isReported: false });
     } else {
       Object.assign(state, { exchange, scanner });
     }
@@ -45,26 +46,35 @@
   #addSocket(socket: Socket, state: ConnectionState): void {
     this.#states.set(socket, state);
     const push = socket.push.bind(socket);
-    socket.push = (chunk: unknown, ...rest) =>
-      checkChunk(state, chunk) && push(chunk, ...rest);
+    socket.push = (chunk: unknown, ...rest) => {
+      const checked = checkChunk(state, chunk);
+      const isPushed = checked !== undefined && push(checked, ...rest);
+      reportFault(state);
+      return isPushed && state.scanner.fault === undefined;
+    };
   }
 }
 
-/** Returns whether the parser may read a chunk; the end of a connection is null. */
-function checkChunk(state: ConnectionState, chunk: unknown): boolean {
-  if (state.hasFault) {
-    return false;
+/** Returns what the parser may read of a chunk; the end of a connection is null. */
+function checkChunk(
+  { scanner, isReported }: ConnectionState,
+  chunk: unknown,
+): unknown {
+  if (isReported) {
+    return undefined;
   }
-  try {
-    Buffer.isBuffer(chunk)
-      ? state.scanner.checkBytes(chunk)
-      : state.scanner.finish();
-  } catch (error) {
-    if (!(error instanceof ResponseSyntaxError)) {
-      throw error;
-    }
-    state.hasFault = true;
-    state.exchange.onFault(error);
+  if (Buffer.isBuffer(chunk)) {
+    const count = scanner.checkBytes(chunk);
+    return count === 0 ? undefined : chunk.subarray(0, count);
+  }
+  scanner.finish();
+  return scanner.fault === undefined ? chunk : undefined;
+}
+
+function reportFault(state: ConnectionState): void {
+  const { fault } = state.scanner;
+  if (fault !== undefined && !state.isReported) {
+    state.isReported = true;
+    state.exchange.onFault(fault);
   }
-  return !state.hasFault;
 }
--- a/packages/common/src/http/unframed_body_scanner.ts
+++ b/packages/common/src/http/unframed_body_scanner.ts
@@ -31,25 +31,19 @@
   }
 
   /**
-   * Checks the next bytes. Throws a `ResponseSyntaxError` if an event stream begins
-   * with a chunk size, which is no line of one.
+   * Checks the next bytes and returns the offset behind them. Throws a
+   * `ResponseSyntaxError` if an event stream begins with a chunk size, which is no
+   * line of one.
    *
    * @param bytes - The bytes that have arrived.
    * @param offset - The offset of the first byte to check.
    */
-  checkBytes(bytes: Buffer, offset: number): void {
-    try {
-      this.#chunks?.checkBytes(bytes, offset);
-    } catch (error) {
-      if (!(error instanceof ResponseSyntaxError)) {
-        throw error;
-      }
-      // Bytes that are no chunks are what a sound body consists of.
-      this.#chunks = undefined;
-    }
+  checkPart(bytes: Buffer, offset: number): number {
+    this.#readChunks(bytes, offset);
     if (this.#isEventStream && this.#chunks?.hasChunk === true) {
       throw createUnnamedChunksFault();
     }
+    return bytes.length;
   }
 
   /** Throws a `ResponseSyntaxError` if the body consists of chunks up to the last one. */
@@ -58,6 +52,20 @@
       throw createUnnamedChunksFault();
     }
   }
+
+  #readChunks(bytes: Buffer, offset: number): void {
+    try {
+      for (let next = offset; next < bytes.length;) {
+        next = this.#chunks?.checkPart(bytes, next) ?? bytes.length;
+      }
+    } catch (error) {
+      if (!(error instanceof ResponseSyntaxError)) {
+        throw error;
+      }
+      // Bytes that are no chunks are what a sound body consists of.
+      this.#chunks = undefined;
+    }
+  }
 }
 
 function throwIfMisspelt({ fields }: ResponseHead): void {
--- a/packages/common/test/http/response_scanner_test.ts
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { describe, it } from "node:test";
-import { ResponseSyntaxError } from "../../src/errors/errors.ts";
 import { ResponseScanner } from "../../src/http/response_scanner.ts";
 import { listRareResponses } from "../../src/testing/rare_responses.ts";
 import type { ResponseBytes } from "../../src/testing/response_bytes.ts";
@@ -26,16 +25,14 @@
 ): boolean {
   const scanner = new ResponseScanner(method);
   const bytes = Buffer.from(text, "latin1");
-  try {
-    for (let offset = 0; offset < bytes.length; offset += pieceBytes) {
-      scanner.checkBytes(bytes.subarray(offset, offset + pieceBytes));
+  for (let offset = 0; offset < bytes.length; offset += pieceBytes) {
+    scanner.checkBytes(bytes.subarray(offset, offset + pieceBytes));
+    if (scanner.fault !== undefined) {
+      return false;
     }
-    scanner.finish();
-    return true;
-  } catch (error) {
-    assert.ok(error instanceof ResponseSyntaxError, String(error));
-    return false;
   }
+  scanner.finish();
+  return scanner.fault === undefined;
 }
 
 /**
@@ -88,4 +85,15 @@
     assert.equal(isAccepted(`${head}9\r\ndata`, 1), false);
     assert.ok(isAccepted(`${head}data: 9\r\n\r\n`, 1));
   });
+
+  it("returns how many bytes stand before the fault", () => {
+    const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const sound = `${head}4\r\nbody\r\n`;
+    const scanner = new ResponseScanner("GET");
+    assert.equal(
+      scanner.checkBytes(Buffer.from(`${sound}x\r\n`)),
+      sound.length,
+    );
+    assert.match(String(scanner.fault?.message), /chunk size/);
+  });
 });
