Reject unsigned successes for streams and samples too

What callers saw: a stream whose head had no signature, or had it under a misspelt name, was passed on; a sample was made of its events.

Cause: only calls and scores checked it, each reader for itself.

Ruled out: failures without a signature, which promise nothing and stay as they are; reports and orders, whose servers send none.

Change: EndpointSender checks the head of each request that it opens.

--- a/packages/edge/src/calls/endpoint_failure.ts
+++ b/packages/edge/src/calls/endpoint_failure.ts
@@ -38,6 +38,8 @@
   });
 }
 
+const FIRST_REDIRECT_STATUS = 300;
+
 /** A response, and what is known of the connection that it arrived on. */
 export interface ReceivedResponse {
   readonly answer: EndpointResponseHead;
@@ -68,6 +70,22 @@
   return answer.attemptId !== attemptId && !isFirstRejection;
 }
 
+/**
+ * Returns whether a response reports success without the proof that an endpoint
+ * produced it; neither callers nor trainers may get it.
+ *
+ * @example
+ * ```ts
+ * const isDropped = isUnsigned({ status: 200, signature: "" });
+ * ```
+ * @param answer - The status and the signature of the response.
+ */
+export function isUnsigned(
+  { status, signature }: Pick<EndpointResponseHead, "status" | "signature">,
+): boolean {
+  return status < FIRST_REDIRECT_STATUS && signature === "";
+}
+
 /**
  * Creates the error for a response that may belong to another request.
  *
--- a/packages/edge/src/calls/endpoint_sender.ts
+++ b/packages/edge/src/calls/endpoint_sender.ts
@@ -22,6 +22,7 @@
   createMalformedError,
   getEndpointOutcome,
   isForeign,
+  isUnsigned,
 } from "./endpoint_failure.ts";
 import type { EndpointDirectory } from "../endpoints/endpoint_directory.ts";
 import type { ReachMonitor } from "../reach/reach_monitor.ts";
@@ -39,7 +40,6 @@
 const IDLE_TIMEOUT_MS = 60_000;
 /** The maximum size of the response to a control call, in bytes; a report lists everything that one endpoint runs. */
 const MAX_CONTROL_BYTES = 1_048_576;
-const FIRST_REDIRECT_STATUS = 300;
 
 /** Options of {@link EndpointSender}. */
 export interface EndpointSenderOptions {
@@ -89,13 +89,6 @@
     { readonly httpAnswer: HttpResponse; readonly answer: EndpointResponseHead }
   > {
     return await this.run(request, async ({ head, answer }) => {
-      if (answer.status < FIRST_REDIRECT_STATUS && answer.signature === "") {
-        head.stream.destroy();
-        throw createMalformedError(
-          request,
-          "a successful response without a signature",
-        );
-      }
       const body = await readBody(head.stream, {
         timeoutMs: request.timeoutMs,
         maxBytes: this.#options.maxAnswerBytes,
@@ -214,6 +207,13 @@
       head.stream.destroy();
       throw createForeignError(request, answer);
     }
+    if (isUnsigned(answer)) {
+      head.stream.destroy();
+      throw createMalformedError(
+        request,
+        "a successful response without a signature",
+      );
+    }
     this.#applyHead(endpoint, answer, sent);
     return { head, answer };
   }
--- a/packages/edge/test/calls/stream_call_test.ts
+++ b/packages/edge/test/calls/stream_call_test.ts
@@ -162,4 +162,14 @@
       assert.ok(!text.includes("200 OK"), text);
     }
   });
+
+  /** Callers got streams that no endpoint vouched for. */
+  it("passes nothing on of a successful response without a signature", async () => {
+    const head = HEAD.replace("X-Briarhill-Server-Signature: s\r\n", "");
+    const { text, outcome } = await streamOnce((socket) =>
+      socket.end(`${head}\r\n${EVENT}`)
+    );
+    assert.equal(outcome, "unknown");
+    assert.ok(text.startsWith("HTTP/1.1 502"), text);
+  });
 });
--- a/packages/edge/test/lots/sample_generation_test.ts
+++ b/packages/edge/test/lots/sample_generation_test.ts
@@ -208,4 +208,19 @@
       assert.equal(task.eventCount, 0, status);
     }
   });
+
+  /** Samples were completed with the text of a response that no engine vouched for. */
+  it("adds nothing to the sample from a successful response without a signature", async () => {
+    for (const signature of ["", "X-Briarhill-Server-Signature:\r\n"]) {
+      const head = streamHead.replace(
+        "X-Briarhill-Server-Signature: s\r\n",
+        signature,
+      );
+      const { report, task } = await runScript((socket) =>
+        socket.end(`${head}id: 0\ndata: e\n\n`)
+      );
+      assert.deepEqual(report, { end: "broken", reason: "malformed" });
+      assert.equal(task.eventCount, 0);
+    }
+  });
 });
