Test all readers of a host with responses that are no HTTP

Cause of the tests: each reader decides for itself what a failed response means.

Ruled out: a reader that gets past the check; calls, scores, reports, streams, samples and the store are played with all lists of spoilt and of rare responses.

--- a/packages/edge/test/calls/endpoint_failure_test.ts
+++ b/packages/edge/test/calls/endpoint_failure_test.ts
@@ -1,3 +1,5 @@
+import { listRareResponses } from "@briarhill/common/testing/rare_responses";
+import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
 import { setLogWriter } from "@briarhill/common/logging/logger";
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
@@ -163,3 +165,46 @@
     });
   }
 });
+
+/** Callers got content that was not the server's, and hosts acted on reports that were none. */
+describe("EndpointSender with bytes that are no HTTP response", () => {
+  const headers = HEAD.trimEnd().split("\r\n").slice(1);
+
+  /** Returns the body of the response, or the outcome of the failed request. */
+  async function sendTo(
+    text: string,
+    purpose: "call" | "scoring" | "control",
+  ): Promise<string> {
+    const server = new RawEndpoint((socket) => socket.end(text, "latin1"));
+    const endpoint = createEndpoint(await server.start());
+    const { sender } = createSender();
+    const sent = purpose === "control"
+      ? sender.callControl(endpoint, REPORT_CALL, TIMEOUT_MS)
+      : sender.send({ ...createRequest(endpoint), purpose })
+        .then(({ httpAnswer }) => httpAnswer);
+    return await sent.then(
+      ({ body }) => body.toString(),
+      (error) => error.outcome,
+    ).finally(() => {
+      sender.close();
+      server.close();
+    });
+  }
+
+  for (const purpose of ["call", "scoring", "control"] as const) {
+    // Responses to control calls echo no id.
+    const content = {
+      headers: purpose === "control" ? ["X-Report: 1"] : headers,
+      body: "body",
+    };
+    it(`fails for the purpose "${purpose}" and returns rare responses`, async () => {
+      for (const { title, text } of listSpoiltResponses(content)) {
+        assert.equal(await sendTo(text, purpose), "unknown", title);
+      }
+      for (const { title, text } of listRareResponses(content)) {
+        const expected = purpose === "scoring" ? "" : "body";
+        assert.equal(await sendTo(text, purpose), expected, title);
+      }
+    });
+  }
+});
--- a/packages/edge/test/calls/stream_call_test.ts
+++ b/packages/edge/test/calls/stream_call_test.ts
@@ -1,3 +1,5 @@
+import { listRareResponses } from "@briarhill/common/testing/rare_responses";
+import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
 import { Logger, setLogWriter } from "@briarhill/common/logging/logger";
 import assert from "node:assert/strict";
 import { createServer, type Server } from "node:http";
@@ -172,4 +174,29 @@
     assert.equal(outcome, "unknown");
     assert.ok(text.startsWith("HTTP/1.1 502"), text);
   });
+
+  /** Callers got the sizes of chunks, or a part of a head, as events of their stream. */
+  it("completes no stream whose bytes are no HTTP response, and each rare one", async () => {
+    const headers = HEAD.trimEnd().split("\r\n").slice(1);
+    const content = { headers, body: EVENT };
+    for (const { title, text } of listSpoiltResponses(content)) {
+      const { text: read, outcome } = await streamOnce((socket) =>
+        socket.end(text, "latin1")
+      );
+      assert.match(outcome, /^(unknown|cut)$/, title);
+      assert.ok(!read.startsWith("HTTP/1.1 200") || outcome === "cut", title);
+      assert.ok(outcome !== "cut" || !read.endsWith(LAST_CHUNK), title);
+    }
+    for (const { title, text } of listRareResponses(content)) {
+      const { text: read, outcome } = await streamOnce((socket) =>
+        socket.end(text, "latin1")
+      );
+      assert.equal(outcome, "whole", title);
+      // A stream that arrives in chunks is passed on in chunks.
+      assert.ok(
+        read.replaceAll(/\r\n[0-9a-f]+\r\n/g, "").includes(EVENT),
+        read,
+      );
+    }
+  });
 });
--- a/packages/edge/test/lots/sample_generation_test.ts
+++ b/packages/edge/test/lots/sample_generation_test.ts
@@ -1,3 +1,5 @@
+import { listRareResponses } from "@briarhill/common/testing/rare_responses";
+import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
 import { setLogWriter } from "@briarhill/common/logging/logger";
 import { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
 import type { SampleRequest } from "@briarhill/rollout/ledger/lot_request";
@@ -223,4 +225,25 @@
       assert.equal(task.eventCount, 0);
     }
   });
+
+  /** Trainers learned from texts that no engine had sent. */
+  it("finishes no sample from bytes that are no HTTP response, and from each rare one", async () => {
+    const headers = streamHead.trimEnd().split("\r\n").slice(1);
+    const body = "id: 0\ndata: e\n\n";
+    for (const { title, text } of listSpoiltResponses({ headers, body })) {
+      const { report } = await runScript((socket) =>
+        socket.end(text, "latin1")
+      );
+      assert.equal(report.end, "broken", title);
+    }
+    for (const { title, text } of listRareResponses({ headers, body })) {
+      const { report, task } = await runScript((socket) =>
+        socket.end(text, "latin1")
+      );
+      // A sample is the body of a 200 only.
+      const isOther = text.startsWith("HTTP/1.1 299");
+      assert.equal(report.end, isOther ? "broken" : "finished", title);
+      assert.equal(task.eventCount, isOther ? 0 : 1, title);
+    }
+  });
 });
--- a/packages/edge/test/peers/relayed_transport_test.ts
+++ b/packages/edge/test/peers/relayed_transport_test.ts
@@ -1,9 +1,11 @@
 import { ResponseMemory } from "@briarhill/common/http/response_memory";
+import { listRareResponses } from "@briarhill/common/testing/rare_responses";
+import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
 import { Logger, setLogWriter } from "@briarhill/common/logging/logger";
 import { SystemClock } from "@briarhill/common/time/system_clock";
 import assert from "node:assert/strict";
 import { createServer, type RequestListener, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RelayedTransport } from "../../src/peers/relayed_transport.ts";
@@ -106,3 +108,43 @@
     assert.ok(results.every(({ status }) => status === "rejected"));
   });
 });
+
+describe("RelayedTransport.call with bytes that are no HTTP response", () => {
+  /** A host read records, or the outcome of an append, from bytes that the store had not sent. */
+  it("rejects them, and returns rare responses", async () => {
+    let text = "";
+    const store = createTcpServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.on("data", () => socket.end(text, "latin1"));
+    });
+    await new Promise<void>((resolve) => store.listen(0, "127.0.0.1", resolve));
+    const { port } = store.address() as AddressInfo;
+    const transport = new RelayedTransport({
+      internalResponses: new ResponseMemory({ limitBytes: 1_000_000 }),
+      store: { hostname: "127.0.0.1", port },
+      clock: new SystemClock(),
+      logger: Logger.create({}),
+      listPeers: () => [],
+    });
+    const content = { headers: ["Connection: close"], body: "[1]" };
+    const call = {
+      method: "POST",
+      path: "/",
+      timeoutMs: CALL_TIMEOUT_MS,
+      mayRelay: false,
+    } as const;
+    for (const spoilt of listSpoiltResponses(content)) {
+      text = spoilt.text;
+      const outcome = await transport.callDirect(call)
+        .then(({ body }) => body.toString(), (error) => error.outcome);
+      assert.equal(outcome, "unknown", spoilt.title);
+    }
+    for (const rare of listRareResponses(content)) {
+      text = rare.text;
+      const { body } = await transport.callDirect(call);
+      assert.equal(body.toString(), "[1]", rare.title);
+    }
+    transport.close();
+    store.close();
+  });
+});
