Reject responses that are not HTTP in the adapters too

Cause: as for the hosts; their parser is undici's, with other gaps.

Ruled out: undici's own checks, which end a part of these with an assertion of the library.

Change: the connections of HttpClient get the same guard. A call that accepts encodings may get one, as services answer callers that ask.

--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -19,9 +19,16 @@
 
 const FIRST_FINAL_STATUS = 200;
 
+/** What a request allows its response to be. */
+export interface AskedResponse {
+  readonly method: string;
+  /** Whether the request accepts encodings of the body; false by default. */
+  readonly isEncodingAsked?: boolean;
+}
+
 /** Checks one response, whose bytes arrive in pieces. */
 export class ResponseScanner {
-  readonly #method: string;
+  readonly #request: AskedResponse;
   readonly #lines = new CrlfReader();
   #statusLine: StatusLine | undefined;
   #fields: HeaderField[] = [];
@@ -29,9 +36,9 @@
   #fault: ResponseSyntaxError | undefined;
   #body: ChunkScanner | UnframedBodyScanner | undefined;
 
-  /** @param method - The method of the request. */
-  constructor(method: string) {
-    this.#method = method;
+  /** @param request - What the request allows its response to be. */
+  constructor(request: AskedResponse) {
+    this.#request = request;
   }
 
   /** The first fault that was found; nothing that follows it is checked. */
@@ -98,8 +105,10 @@
 
   #finishHead(statusLine: StatusLine): void {
     const head = { ...statusLine, fields: this.#fields };
-    throwIfEncoded(head);
-    const { kind } = parseBodyFraming(head, this.#method);
+    if (this.#request.isEncodingAsked !== true) {
+      throwIfEncoded(head);
+    }
+    const { kind } = parseBodyFraming(head, this.#request.method);
     this.#isInBody = statusLine.status >= FIRST_FINAL_STATUS;
     this.#statusLine = undefined;
     this.#fields = [];
--- a/packages/common/src/http/response_syntax_guard.ts
+++ b/packages/common/src/http/response_syntax_guard.ts
@@ -6,11 +6,10 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import type { ResponseSyntaxError } from "../errors/errors.ts";
-import { ResponseScanner } from "./response_scanner.ts";
+import { type AskedResponse, ResponseScanner } from "./response_scanner.ts";
 
 /** The request that is sent on a connection. */
-export interface GuardedExchange {
-  readonly method: string;
+export interface GuardedExchange extends AskedResponse {
   /** Called at the first byte that is no part of an HTTP response; must close the connection. */
   readonly onFault: (error: ResponseSyntaxError) => void;
 }
@@ -35,7 +34,7 @@
    */
   addRequest(socket: Socket, exchange: GuardedExchange): void {
     const state = this.#states.get(socket);
-    const scanner = new ResponseScanner(exchange.method);
+    const scanner = new ResponseScanner(exchange);
     if (state === undefined) {
       this.#addSocket(socket, { exchange, scanner, isReported: false });
     } else {
--- a/packages/ports/src/http/call_progress.ts
+++ b/packages/ports/src/http/call_progress.ts
@@ -4,7 +4,11 @@
  * sent.
  * @module
  */
-import { PortError, type PortFault } from "@briarhill/common/errors/errors";
+import {
+  PortError,
+  type PortFault,
+  ResponseSyntaxError,
+} from "@briarhill/common/errors/errors";
 import type { Outcome } from "@briarhill/common/ids/ids";
 
 const TIMEOUT_CODES: readonly string[] = [
@@ -78,7 +82,9 @@
     if (this.#outcome === "not-run" && REFUSED_CODES.includes(code)) {
       return "refused";
     }
-    return name === "HTTPParserError" ? "malformed" : "reset";
+    const isMalformed = name === "HTTPParserError" ||
+      error instanceof ResponseSyntaxError;
+    return isMalformed ? "malformed" : "reset";
   }
 }
 
--- a/packages/ports/src/http/create_connector.ts
+++ b/packages/ports/src/http/create_connector.ts
@@ -1,9 +1,10 @@
 /**
- * Opens the connections of an HTTP client, and has each of them watched and paced
- * from the start.
+ * Opens the connections of an HTTP client, and has each of them checked, watched
+ * and paced from the start.
  * @module
  */
 import { buildConnector } from "undici";
+import { addGuardedSocket } from "./guarded_sockets.ts";
 import type { ReadPacer } from "./read_pacer.ts";
 import type { ResetMonitor } from "./reset_monitor.ts";
 
@@ -41,6 +42,7 @@
   return (options, callback) =>
     connect(options, (...[error, socket]) => {
       if (error === null) {
+        addGuardedSocket(socket);
         resets.addSocket(socket);
         pacer?.addSocket(socket);
         callback(null, socket);
