Reject responses that are not HTTP in the operator's command

What operators saw: the command showed what it read of a response with status 600, of version 2.0, or with another of the faults that the adapters let pass.

Cause: it called the client library directly, beside HttpClient and its checks.

Ruled out: a check of its own; the requests of the command need nothing that HttpClient lacks.

Change: HttpNodeClient uses HttpClient; the package needs the library no more.

--- a/packages/cli/src/operator/http_node_client.ts
+++ b/packages/cli/src/operator/http_node_client.ts
@@ -9,7 +9,7 @@
   type NodeStatus,
 } from "@briarhill/control/configuration/node_status";
 import { decodeNewestSnapshot } from "@briarhill/control/snapshots/snapshot";
-import { request } from "undici";
+import { HttpClient } from "@briarhill/ports/http/http_client";
 import { z } from "zod";
 import { type HistogramRow, HISTOGRAMS, NodeClient } from "./node_client.ts";
 
@@ -40,13 +40,18 @@
   url: string,
   schema: T,
 ): Promise<z.output<T>> {
+  const { pathname, search, origin } = new URL(url);
+  const client = new HttpClient("node", origin, {
+    firstByteTimeoutMs: REQUEST_TIMEOUT_MS,
+    progressTimeoutMs: REQUEST_TIMEOUT_MS,
+  });
   try {
-    const response = await request(url, {
-      headersTimeout: REQUEST_TIMEOUT_MS,
-      bodyTimeout: REQUEST_TIMEOUT_MS,
+    return await client.fetchJson({
+      operation: "fetch",
+      method: "GET",
+      path: pathname + search,
       signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
-    });
-    return schema.parse(await response.body.json());
+    }, schema);
   } catch (cause) {
     throw new PortError(
       `cannot fetch ${url}; check the address and that the node is running`,
@@ -55,5 +60,7 @@
         props: { port: "node", operation: "fetch", fault: "refused" },
       },
     );
+  } finally {
+    await client.abort();
   }
 }
