Add responses that are no HTTP to the soak, and test what follows them

Cause of the tests: a spoilt response must lead to another attempt where that is allowed, and to a true error elsewhere; with status 000 or 099 it had led to 500 "internal error" of the host.

Change: a fault "responses-spoilt" of the soak, drawn apart so that the other faults of a seed stay as they were; endpoints send the responses in turn. A body that only they hold is a breach at any status.

--- a/packages/bench/src/soak/endpoint_faults.ts
+++ b/packages/bench/src/soak/endpoint_faults.ts
@@ -21,6 +21,7 @@
   "responses-unframed": "unframed",
   "responses-reset": "reset",
   "responses-endless": "unframed",
+  "responses-spoilt": "spoilt",
 } as const;
 
 /** A fault of the bytes that an endpoint sends. */
@@ -140,8 +141,8 @@
 }
 
 /**
- * Lets an endpoint end its responses without a length, reset them half way or send
- * them without end.
+ * Lets an endpoint end its responses without a length, reset them half way, send
+ * them without end or send what is no HTTP response.
  *
  * @example
  * ```ts
--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -35,7 +35,8 @@
   | "hosts-cut-refused"
   | "responses-unframed"
   | "responses-reset"
-  | "responses-endless";
+  | "responses-endless"
+  | "responses-spoilt";
 
 const KINDS: readonly SoakFaultKind[] = [
   "kill",
@@ -98,6 +99,9 @@
   "responses-endless",
 ];
 
+/** Faults of their heads, added after those. */
+const SPOILT_KINDS: readonly SoakFaultKind[] = ["responses-spoilt"];
+
 /** The mean pause between two faults, in milliseconds; most last longer, so that they overlap. */
 const MEAN_PAUSE_MS = 700;
 const MIN_FAULT_MS = 200;
@@ -125,6 +129,7 @@
   const responses = new SeededRandom(
     hashText(`soak responses ${options.seed}`),
   );
+  const spoilt = new SeededRandom(hashText(`soak spoilt ${options.seed}`));
   return [
     ...drawFaults(random, {
       ...options,
@@ -146,6 +151,11 @@
       kinds: RESPONSE_KINDS,
       meanPauseMs: RESPONSE_MEAN_PAUSE_MS,
     }),
+    ...drawFaults(spoilt, {
+      ...options,
+      kinds: SPOILT_KINDS,
+      meanPauseMs: RESPONSE_MEAN_PAUSE_MS,
+    }),
   ].toSorted((first, second) => first.atMs - second.atMs);
 }
 
--- a/packages/bench/test/soak/soak_checks_test.ts
+++ b/packages/bench/test/soak/soak_checks_test.ts
@@ -1,3 +1,4 @@
+import { SPOILT_BODY } from "@briarhill/fakes/platform/response_endings";
 import type { LotResult } from "@briarhill/fakes/platform/trainer_calls";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
@@ -85,6 +86,10 @@
   testDefect("an answer is whole and the caller's own", (checks) => {
     checks.checkCall({ id: "c", status: 200, body: "d", signature: "s.d" });
   });
+  testDefect("an answer is a server's", (checks) => {
+    const body = `a head${SPOILT_BODY}`;
+    checks.checkCall({ id: "c", status: 900, body, signature: "s.c" });
+  });
   testDefect("what was refused has not run", (checks) => {
     checks.checkCall({ id: "c", status: 503, body: "", signature: "" });
     const runs = [{ attemptId: "c", path: "/", fromEvent: 0 }];
--- a/packages/edge/test/calls/call_forwarder_test.ts
+++ b/packages/edge/test/calls/call_forwarder_test.ts
@@ -1,7 +1,10 @@
+import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
 import { describe, it } from "node:test";
-import { createCall, createForwarder } from "./call_fixture.ts";
+import { createCall, createForwarder, createRoute } from "./call_fixture.ts";
+import { RawEndpoint } from "./raw_endpoint.ts";
+import { createRawResponse, HEAD } from "./sender_fixture.ts";
 
 const DEADLINE_MS = 800;
 /** Far below the deadline; a busy machine delays timers. */
@@ -54,4 +57,57 @@
     assert.ok(attempts <= 2 * 3, `${attempts} attempts at 3 endpoints`);
     assert.ok(tookMs < AT_ONCE_MS, `${tookMs} ms for 10 calls`);
   });
+
+  const spoilt = listSpoiltResponses({
+    headers: HEAD.trimEnd().split("\r\n").slice(1),
+    body: "spoilt",
+  });
+
+  /** Forwards a call to endpoints that answer with these bytes. */
+  async function forwardTo(
+    responses: readonly string[],
+    kind: "idempotent" | "non-idempotent",
+  ) {
+    let requests = 0;
+    const endpoints = responses.map((text) =>
+      new RawEndpoint((socket) => {
+        requests++;
+        socket.end(text, "latin1");
+      })
+    );
+    const ports = await Promise.all(endpoints.map((each) => each.start()));
+    const { clock, forwarder, sender, reach } = createForwarder(ports);
+    const { outcome } = await forwarder.forward(
+      createCall(clock.getMonotonicMs() + DEADLINE_MS, {
+        route: createRoute({ kind }),
+      }),
+    );
+    sender.close();
+    reach.stop();
+    endpoints.forEach((each) => each.close());
+    return { outcome, requests };
+  }
+
+  /** Callers got 500, or content that was not the server's, though another endpoint was sound. */
+  it("sends an idempotent call to another endpoint after bytes that are no HTTP response", async () => {
+    const sound = createRawResponse("a", "sound");
+    for (const { title, text } of spoilt) {
+      const { outcome } = await forwardTo([text, sound], "idempotent");
+      assert.equal(outcome.kind, "answered", title);
+      const { body } = outcome.kind === "answered" ? outcome.httpAnswer : {};
+      assert.equal(String(body), "sound", title);
+    }
+  });
+
+  /** A non-idempotent request may have run, whatever its response looks like. */
+  it("fails a non-idempotent call after bytes that are no HTTP response, without another attempt", async () => {
+    for (const { title, text } of spoilt) {
+      const { outcome, requests } = await forwardTo(
+        [text, text],
+        "non-idempotent",
+      );
+      assert.equal(outcome.kind, "failed", title);
+      assert.equal(requests, 1, title);
+    }
+  });
 });
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -6,18 +6,17 @@
 import {
   ATTEMPT_ID,
   EXPECTED_INSTANCE,
-  LAST_EVENT_ID,
   NOT_EXECUTED,
   SERVER_LEAVING,
   SERVER_LIMIT,
   SIGNATURE,
-  TENANT,
 } from "@briarhill/platform/names/headers";
 import { createEndpointEntry } from "./endpoint_entry.ts";
-import type {
-  EndpointStandInOptions,
-  ReceivedAttempt,
-  ReceivedOrder,
+import {
+  createReceivedAttempt,
+  type EndpointStandInOptions,
+  type ReceivedAttempt,
+  type ReceivedOrder,
 } from "./endpoint_stand_in_options.ts";
 import { type EndlessPart, writeEndless } from "./endless_response.ts";
 import { writeEvents } from "./event_stream.ts";
@@ -197,7 +196,8 @@
     body: Buffer,
     response: ServerResponse,
   ): Promise<void> {
-    const attemptId = String(request.headers[ATTEMPT_ID.toLowerCase()] ?? "");
+    const received = createReceivedAttempt(request);
+    const { attemptId } = received;
     const headers = {
       [ATTEMPT_ID]: attemptId,
       [SIGNATURE]: `${this.options.id}.${attemptId}`,
@@ -208,15 +208,10 @@
     }
     const { remoteAddress, remotePort } = request.socket;
     this.leaving.checkAttempt(attemptId, `${remoteAddress}:${remotePort}`);
-    const lastEventId = request.headers[LAST_EVENT_ID.toLowerCase()];
-    const fromEvent = lastEventId === undefined ? 0 : Number(lastEventId) + 1;
-    this.runs.push({
-      attemptId,
-      path: request.url ?? "",
-      fromEvent,
-      workspace: String(request.headers[TENANT.toLowerCase()] ?? ""),
-      authorization: request.headers.authorization ?? "",
-    });
+    this.runs.push(received);
+    if (this.endings.writeSpoilt(response, headers)) {
+      return;
+    }
     const isEngine = this.options.models.length > 0;
     this.endings.open(response).writeHead(
       200,
@@ -225,7 +220,10 @@
     if (this.endless !== undefined) {
       await writeEndless(response, this.endless);
     } else if (isEngine) {
-      await writeEvents(response, { from: fromEvent, source: this });
+      await writeEvents(response, {
+        from: received.fromEvent,
+        source: this,
+      });
     } else {
       this.endings.finish(response, body.subarray(0, this.echoBytes));
     }
--- a/packages/fakes/src/platform/endpoint_stand_in_options.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in_options.ts
@@ -3,6 +3,12 @@
  * @module
  */
 import type { HttpAddress } from "@briarhill/common/http/http_exchange";
+import {
+  ATTEMPT_ID,
+  LAST_EVENT_ID,
+  TENANT,
+} from "@briarhill/platform/names/headers";
+import type { IncomingMessage } from "node:http";
 
 /** An order that an endpoint has accepted. */
 export interface ReceivedOrder {
@@ -42,3 +48,27 @@
   /** The address in the platform's endpoint list; by default the one that it listens on. */
   readonly advertisedAddress?: HttpAddress;
 }
+
+/**
+ * Returns what an endpoint records of a request that it runs.
+ *
+ * @example
+ * ```ts
+ * declare const request: import("node:http").IncomingMessage;
+ *
+ * const { attemptId } = createReceivedAttempt(request);
+ * ```
+ * @param request - The request.
+ */
+export function createReceivedAttempt(
+  { headers, url }: IncomingMessage,
+): ReceivedAttempt {
+  const lastEventId = headers[LAST_EVENT_ID.toLowerCase()];
+  return {
+    attemptId: String(headers[ATTEMPT_ID.toLowerCase()] ?? ""),
+    path: url ?? "",
+    fromEvent: lastEventId === undefined ? 0 : Number(lastEventId) + 1,
+    workspace: String(headers[TENANT.toLowerCase()] ?? ""),
+    authorization: headers.authorization ?? "",
+  };
+}
--- a/packages/fakes/src/platform/response_endings.ts
+++ b/packages/fakes/src/platform/response_endings.ts
@@ -3,21 +3,26 @@
  * apart.
  * @module
  */
+import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 
 /**
  * How a response ends: "framed" by its length or last chunk, "unframed" with its
  * connection, "reset" by a reset of its connection after a part of a body without
- * a length.
+ * a length; "spoilt" if its bytes are no HTTP response.
  */
-export type ResponseEnding = "framed" | "unframed" | "reset";
+export type ResponseEnding = "framed" | "unframed" | "reset" | "spoilt";
+
+/** The body of spoilt responses, which no endpoint sends otherwise. */
+export const SPOILT_BODY = "spoilt";
 
 /** Ends the responses of one endpoint. */
 export class ResponseEndings {
   /** How responses end that begin from now on. */
   ending: ResponseEnding = "framed";
   readonly #unframed = new Set<ServerResponse>();
+  #spoiltCount = 0;
 
   /**
    * Prepares a response, before its head is written, for the way in which it ends.
@@ -25,7 +30,7 @@
    * @param response - The response.
    */
   open(response: ServerResponse): ServerResponse {
-    if (this.ending !== "framed") {
+    if (this.ending === "unframed" || this.ending === "reset") {
       response.useChunkedEncodingByDefault = false;
       response.setHeader("Connection", "close");
       this.#unframed.add(response);
@@ -34,6 +39,32 @@
     return response;
   }
 
+  /**
+   * Writes one of the responses that are no HTTP, each in turn, and ends the
+   * connection. Returns false if responses are to be sound.
+   *
+   * @param response - The response, whose head has not been written.
+   * @param headers - The fields of the head.
+   */
+  writeSpoilt(
+    response: ServerResponse,
+    headers: Readonly<Record<string, string>>,
+  ): boolean {
+    if (this.ending !== "spoilt") {
+      return false;
+    }
+    const responses = listSpoiltResponses({
+      headers: Object.entries(headers).map(([name, value]) =>
+        `${name}: ${value}`
+      ),
+      body: SPOILT_BODY,
+    });
+    const { text = "" } = responses[this.#spoiltCount++ % responses.length] ??
+      {};
+    response.socket?.end(text, "latin1");
+    return true;
+  }
+
   /**
    * Writes the body of a response, or resets its connection after the first half.
    *
