Name malformed responses by the usual terms, and log what was malformed

Ruled out: passing on the fields of a head before its fault; the parser then reported a fault of its own and the error named a reset.

Change: renamed to malformed and unusual; the error that has broken a response is kept with it, and shows in the error of a call, the reason of a sample's attempt and the event "stream-malformed".

--- a/packages/bench/src/soak/endpoint_faults.ts
+++ b/packages/bench/src/soak/endpoint_faults.ts
@@ -21,7 +21,7 @@
   "responses-unframed": "unframed",
   "responses-reset": "reset",
   "responses-endless": "unframed",
-  "responses-spoilt": "spoilt",
+  "responses-malformed": "malformed",
 } as const;
 
 /** A fault of the bytes that an endpoint sends. */
--- a/packages/bench/src/soak/soak_checks.ts
+++ b/packages/bench/src/soak/soak_checks.ts
@@ -2,7 +2,7 @@
  * Checks the promises of the platform by what clients and endpoints see.
  * @module
  */
-import { SPOILT_BODY } from "@briarhill/fakes/platform/response_endings";
+import { MALFORMED_BODY } from "@briarhill/fakes/platform/response_endings";
 import type {
   ReceivedAttempt,
   ReceivedOrder,
@@ -92,7 +92,7 @@
     if (status === 200 && (body !== id || !signature.endsWith(`.${id}`))) {
       this.#add("an answer is whole and the caller's own", id);
     }
-    if (body.includes(SPOILT_BODY)) {
+    if (body.includes(MALFORMED_BODY)) {
       this.#add("an answer is a server's", `${id}: status ${status}`);
     }
     if (status === 429 || status === 503) {
--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -36,7 +36,7 @@
   | "responses-unframed"
   | "responses-reset"
   | "responses-endless"
-  | "responses-spoilt";
+  | "responses-malformed";
 
 const KINDS: readonly SoakFaultKind[] = [
   "kill",
@@ -100,7 +100,7 @@
 ];
 
 /** Faults of their heads, added after those. */
-const SPOILT_KINDS: readonly SoakFaultKind[] = ["responses-spoilt"];
+const MALFORMED_KINDS: readonly SoakFaultKind[] = ["responses-malformed"];
 
 /** The mean pause between two faults, in milliseconds; most last longer, so that they overlap. */
 const MEAN_PAUSE_MS = 700;
@@ -129,7 +129,9 @@
   const responses = new SeededRandom(
     hashText(`soak responses ${options.seed}`),
   );
-  const spoilt = new SeededRandom(hashText(`soak spoilt ${options.seed}`));
+  const malformed = new SeededRandom(
+    hashText(`soak malformed ${options.seed}`),
+  );
   return [
     ...drawFaults(random, {
       ...options,
@@ -151,9 +153,9 @@
       kinds: RESPONSE_KINDS,
       meanPauseMs: RESPONSE_MEAN_PAUSE_MS,
     }),
-    ...drawFaults(spoilt, {
+    ...drawFaults(malformed, {
       ...options,
-      kinds: SPOILT_KINDS,
+      kinds: MALFORMED_KINDS,
       meanPauseMs: RESPONSE_MEAN_PAUSE_MS,
     }),
   ].toSorted((first, second) => first.atMs - second.atMs);
--- a/packages/bench/test/soak/soak_checks_test.ts
+++ b/packages/bench/test/soak/soak_checks_test.ts
@@ -1,4 +1,4 @@
-import { SPOILT_BODY } from "@briarhill/fakes/platform/response_endings";
+import { MALFORMED_BODY } from "@briarhill/fakes/platform/response_endings";
 import type { LotResult } from "@briarhill/fakes/platform/trainer_calls";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
@@ -87,7 +87,7 @@
     checks.checkCall({ id: "c", status: 200, body: "d", signature: "s.d" });
   });
   testDefect("an answer is a server's", (checks) => {
-    const body = `a head${SPOILT_BODY}`;
+    const body = `a head${MALFORMED_BODY}`;
     checks.checkCall({ id: "c", status: 900, body, signature: "s.c" });
   });
   testDefect("what was refused has not run", (checks) => {
--- a/packages/cli/test/operator/http_node_client_test.ts
+++ b/packages/cli/test/operator/http_node_client_test.ts
@@ -1,6 +1,6 @@
 import { PortError } from "@briarhill/common/errors/errors";
-import { listRareResponses } from "@briarhill/common/testing/rare_responses";
-import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
+import { listUnusualResponses } from "@briarhill/common/testing/unusual_responses";
+import { listMalformedResponses } from "@briarhill/common/testing/malformed_responses";
 import assert from "node:assert/strict";
 import { type AddressInfo, createServer } from "node:net";
 import { describe, it } from "node:test";
@@ -32,13 +32,13 @@
 /** Operators were shown what a node had not sent. */
 describe("HttpNodeClient", () => {
   it("fails on bytes that are no HTTP response", async () => {
-    for (const { title, text } of listSpoiltResponses(CONTENT)) {
+    for (const { title, text } of listMalformedResponses(CONTENT)) {
       assert.equal(await fetchFrom(text), undefined, title);
     }
   });
 
-  it("returns what rare responses hold", async () => {
-    for (const { title, text } of listRareResponses(CONTENT)) {
+  it("returns what unusual responses hold", async () => {
+    for (const { title, text } of listUnusualResponses(CONTENT)) {
       // The library fails a call at a 100 that it did not ask for.
       const expected = text.startsWith("HTTP/1.1 100 ") ? undefined : [];
       assert.deepEqual(await fetchFrom(text), expected, title);
--- a/packages/common/src/http/body_reader.ts
+++ b/packages/common/src/http/body_reader.ts
@@ -8,7 +8,7 @@
 import type { PortError, PortFault } from "../errors/errors.ts";
 import { createPortError } from "../errors/port_error.ts";
 import { ByteCollector } from "./byte_collector.ts";
-import { isComplete } from "./response_completeness.ts";
+import { getBreakCause, isComplete } from "./response_completeness.ts";
 import type { ResponseMemory, ResponseReading } from "./response_memory.ts";
 
 /**
@@ -127,7 +127,9 @@
       resolve(this.#collector.toBuffer());
       return;
     }
-    reject(createReadError(this.#options, this.#fault ?? "incomplete"));
+    const fault = this.#fault ?? "incomplete";
+    const cause = getBreakCause(this.#stream);
+    reject(createReadError(this.#options, fault, cause));
   }
 }
 
@@ -139,10 +141,12 @@
 function createReadError(
   { port, operation }: BodyReadOptions,
   fault: PortFault,
+  cause: Error | undefined,
 ): PortError {
+  const detail = cause === undefined ? "" : `: ${cause.message}`;
   return createPortError(
-    `${port} ${operation}: can't read the response body: ${fault}`,
-    { port, operation, fault, outcome: "unknown" },
+    `${port} ${operation}: can't read the response body: ${fault}${detail}`,
+    { port, operation, fault, outcome: "unknown", cause },
   );
 }
 
--- a/packages/common/src/http/chunk_scanner.ts
+++ b/packages/common/src/http/chunk_scanner.ts
@@ -71,7 +71,7 @@
     const expected = CHUNK_END.at(-this.#missingBytes);
     const actual = bytes.toString("latin1", offset, offset + 1);
     if (actual !== expected) {
-      throw createResponseFault("a chunk that goes on after its size", actual);
+      throw createResponseFault("a chunk that is longer than its size", actual);
     }
     this.#missingBytes--;
     this.#part = this.#missingBytes === 0 ? "size" : "data-end";
@@ -91,7 +91,7 @@
   #startChunk(line: string): void {
     const [, digits] = SIZE_LINE.exec(line) ?? [];
     if (digits === undefined) {
-      throw createResponseFault("a chunk size that is none", line);
+      throw createResponseFault("a malformed chunk size", line);
     }
     this.#chunkCount++;
     this.#missingBytes = Number.parseInt(digits, 16);
@@ -102,7 +102,10 @@
     if (line === "") {
       this.#part = "complete";
     } else if (HEAD_FIELDS.has(parseHeaderField(line).name)) {
-      throw createResponseFault("a field of a head among the trailers", line);
+      throw createResponseFault(
+        "a framing or encoding field in the trailers",
+        line,
+      );
     }
   }
 }
--- a/packages/common/src/http/http_sender.ts
+++ b/packages/common/src/http/http_sender.ts
@@ -230,7 +230,7 @@
           watch.abort("malformed", error);
         } else {
           // Its reader may still read what arrived before the fault.
-          setBroken(response);
+          setBroken(response, error);
           socket.destroy();
         }
       },
--- a/packages/common/src/http/response_completeness.ts
+++ b/packages/common/src/http/response_completeness.ts
@@ -8,8 +8,8 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 
-/** Responses that can't be complete any more. */
-const BROKEN_RESPONSES = new WeakSet<IncomingMessage>();
+/** Responses that can't be complete any more, and the errors that have shown it, if any. */
+const BROKEN_RESPONSES = new WeakMap<IncomingMessage, Error | undefined>();
 
 /**
  * Records that a response is broken, whatever its parser makes of its end.
@@ -21,9 +21,25 @@
  * setBroken(response);
  * ```
  * @param response - The response.
+ * @param cause - The error that has shown it, if any.
  */
-export function setBroken(response: IncomingMessage): void {
-  BROKEN_RESPONSES.add(response);
+export function setBroken(response: IncomingMessage, cause?: Error): void {
+  BROKEN_RESPONSES.set(response, cause);
+}
+
+/**
+ * Returns the error that has shown that a response is broken, if any.
+ *
+ * @example
+ * ```ts
+ * declare const response: import("node:http").IncomingMessage;
+ *
+ * const reason = getBreakCause(response)?.message ?? "cut";
+ * ```
+ * @param response - The response.
+ */
+export function getBreakCause(response: IncomingMessage): Error | undefined {
+  return BROKEN_RESPONSES.get(response);
 }
 
 /**
@@ -45,7 +61,7 @@
   const { socket } = response;
   // A response that is complete before its connection ends is not affected.
   const addIfIncomplete = () => {
-    if (!response.complete) {
+    if (!response.complete && !BROKEN_RESPONSES.has(response)) {
       setBroken(response);
     }
   };
--- a/packages/common/src/http/response_framing.ts
+++ b/packages/common/src/http/response_framing.ts
@@ -36,7 +36,7 @@
 export function throwIfEncoded(head: ResponseHead): void {
   const [encoding] = listValues(head, "content-encoding");
   if (encoding !== undefined) {
-    const found = "a content encoding that was not asked for";
+    const found = "an unexpected content encoding";
     throw createResponseFault(found, `${head.status} ${encoding}`);
   }
 }
@@ -72,7 +72,7 @@
   const codings = listValues(head, "transfer-encoding");
   const lengths = listValues(head, "content-length");
   if (codings.length + lengths.length > 1) {
-    throw createFramingFault("a body that is framed twice", head);
+    throw createFramingFault("a body with two framings", head);
   }
   const [coding] = codings;
   const [length] = lengths;
@@ -87,14 +87,14 @@
 function parseCoding(coding: string, head: ResponseHead): BodyFraming {
   const name = coding.toLowerCase();
   if (head.minorVersion === 0 || !["chunked", "identity"].includes(name)) {
-    throw createFramingFault("a transfer coding that was not asked for", head);
+    throw createFramingFault("an unsupported transfer coding", head);
   }
   return { kind: name === "chunked" ? "chunked" : "connection" };
 }
 
 function parseLength(length: string, head: ResponseHead): BodyFraming {
   if (!LENGTH.test(length)) {
-    throw createFramingFault("a length that is no number", head);
+    throw createFramingFault("a malformed length", head);
   }
   return { kind: "length", bytes: Number(length) };
 }
@@ -103,7 +103,7 @@
 function throwIfFramed(framing: BodyFraming, head: ResponseHead): void {
   const isEmpty = framing.kind === "length" && framing.bytes === 0;
   if (framing.kind !== "connection" && !isEmpty) {
-    throw createFramingFault("a body where the status allows none", head);
+    throw createFramingFault("a body with a status that allows none", head);
   }
 }
 
--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -20,15 +20,15 @@
 const FIRST_FINAL_STATUS = 200;
 
 /** What a request allows its response to be. */
-export interface AskedResponse {
+export interface ResponseExpectation {
   readonly method: string;
   /** Whether the request accepts encodings of the body; false by default. */
-  readonly isEncodingAsked?: boolean;
+  readonly acceptsEncoding?: boolean;
 }
 
 /** Checks one response, whose bytes arrive in pieces. */
 export class ResponseScanner {
-  readonly #request: AskedResponse;
+  readonly #request: ResponseExpectation;
   readonly #lines = new CrlfReader();
   #statusLine: StatusLine | undefined;
   #fields: HeaderField[] = [];
@@ -37,7 +37,7 @@
   #body: ChunkScanner | UnframedBodyScanner | undefined;
 
   /** @param request - What the request allows its response to be. */
-  constructor(request: AskedResponse) {
+  constructor(request: ResponseExpectation) {
     this.#request = request;
   }
 
@@ -48,7 +48,7 @@
 
   /**
    * Checks the next bytes and returns how many of them may be passed on to a parser:
-   * all, or those before the first fault.
+   * all, those of a body before its first fault, or none if the head has a fault.
    *
    * @param bytes - The bytes.
    */
@@ -59,7 +59,7 @@
         offset = this.#checkPart(bytes, offset);
       }
     });
-    return offset;
+    return this.#fault === undefined || this.#isInBody ? offset : 0;
   }
 
   /** Checks a response whose connection has ended. */
@@ -105,7 +105,7 @@
 
   #finishHead(statusLine: StatusLine): void {
     const head = { ...statusLine, fields: this.#fields };
-    if (this.#request.isEncodingAsked !== true) {
+    if (this.#request.acceptsEncoding !== true) {
       throwIfEncoded(head);
     }
     const { kind } = parseBodyFraming(head, this.#request.method);
--- a/packages/common/src/http/response_syntax.ts
+++ b/packages/common/src/http/response_syntax.ts
@@ -33,7 +33,7 @@
   const [, minorVersion, digits] = STATUS_LINE.exec(line) ?? [];
   const status = Number(digits);
   if (minorVersion === undefined || status === SWITCHING_PROTOCOLS_STATUS) {
-    throw createResponseFault("a status line that is none", line);
+    throw createResponseFault("a malformed status line", line);
   }
   return { minorVersion: minorVersion === "1" ? 1 : 0, status };
 }
@@ -58,7 +58,7 @@
 export function parseHeaderField(line: string): HeaderField {
   const [, name, value] = FIELD_LINE.exec(line) ?? [];
   if (name === undefined || value === undefined) {
-    throw createResponseFault("a header field that is none", line);
+    throw createResponseFault("a malformed header field", line);
   }
   return { name: name.toLowerCase(), value };
 }
--- a/packages/common/src/http/response_syntax_guard.ts
+++ b/packages/common/src/http/response_syntax_guard.ts
@@ -6,10 +6,13 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import type { ResponseSyntaxError } from "../errors/errors.ts";
-import { type AskedResponse, ResponseScanner } from "./response_scanner.ts";
+import {
+  type ResponseExpectation,
+  ResponseScanner,
+} from "./response_scanner.ts";
 
 /** The request that is sent on a connection. */
-export interface GuardedExchange extends AskedResponse {
+export interface GuardedExchange extends ResponseExpectation {
   /** Called at the first byte that is no part of an HTTP response; must close the connection. */
   readonly onFault: (error: ResponseSyntaxError) => void;
 }
--- a/packages/common/src/http/unframed_body_scanner.ts
+++ b/packages/common/src/http/unframed_body_scanner.ts
@@ -1,7 +1,7 @@
 /**
  * Checks bodies that end with their connection. A head whose `Transfer-Encoding` was
- * lost or misspelt frames no body, and the chunks would be read as the body, sizes
- * included; docs/incidents/spoilt_heads.md says what tells such a body apart.
+ * lost or misspelled frames no body, and the chunks would be read as the body, sizes
+ * included; docs/incidents/malformed_heads.md says what tells such a body apart.
  * @module
  */
 import type { Buffer } from "node:buffer";
@@ -11,7 +11,7 @@
 import type { ResponseHead } from "./response_framing.ts";
 
 const CODING_FIELD = "transfer-encoding";
-const MAX_MISSPELT_CHARACTERS = 2;
+const MAX_MISSPELLED_CHARACTERS = 2;
 const EVENT_STREAM = /^text\/event-stream\b/i;
 
 /** Checks one body, whose bytes arrive in pieces. */
@@ -21,10 +21,10 @@
 
   /**
    * @param head - The head of the response. Throws a `ResponseSyntaxError` if it
-   * names chunks by a misspelt field.
+   * names chunks declared by a misspelled field.
    */
   constructor(head: ResponseHead) {
-    throwIfMisspelt(head);
+    throwIfMisspelled(head);
     this.#isEventStream = head.fields.some(({ name, value }) =>
       name === "content-type" && EVENT_STREAM.test(value)
     );
@@ -41,7 +41,7 @@
   checkPart(bytes: Buffer, offset: number): number {
     this.#readChunks(bytes, offset);
     if (this.#isEventStream && this.#chunks?.hasChunk === true) {
-      throw createUnnamedChunksFault();
+      throw createUndeclaredChunksFault();
     }
     return bytes.length;
   }
@@ -49,7 +49,7 @@
   /** Throws a `ResponseSyntaxError` if the body consists of chunks up to the last one. */
   finish(): void {
     if (this.#chunks?.isComplete === true) {
-      throw createUnnamedChunksFault();
+      throw createUndeclaredChunksFault();
     }
   }
 
@@ -68,21 +68,21 @@
   }
 }
 
-function throwIfMisspelt({ fields }: ResponseHead): void {
+function throwIfMisspelled({ fields }: ResponseHead): void {
   for (const { name, value } of fields) {
-    if (value.toLowerCase() === "chunked" && isMisspeltCoding(name)) {
-      throw createResponseFault("chunks by a misspelt field", name);
+    if (value.toLowerCase() === "chunked" && isMisspelledCoding(name)) {
+      throw createResponseFault("chunks declared by a misspelled field", name);
     }
   }
 }
 
 /** Returns whether a name differs from that of the field by a few characters, or one is missing or added. */
-function isMisspeltCoding(name: string): boolean {
+function isMisspelledCoding(name: string): boolean {
   if (name.length === CODING_FIELD.length) {
     const differing = [...name].filter((character, index) =>
       character !== CODING_FIELD[index]
     );
-    return differing.length <= MAX_MISSPELT_CHARACTERS;
+    return differing.length <= MAX_MISSPELLED_CHARACTERS;
   }
   return hasOneMore(CODING_FIELD, name) || hasOneMore(name, CODING_FIELD);
 }
@@ -94,6 +94,6 @@
   );
 }
 
-function createUnnamedChunksFault(): ResponseSyntaxError {
-  return createResponseFault("chunks that the head does not name", "");
+function createUndeclaredChunksFault(): ResponseSyntaxError {
+  return createResponseFault("chunks that the head does not declare", "");
 }
--- a/packages/common/src/testing/spoilt_bodies.ts
+++ b/packages/common/src/testing/malformed_bodies.ts
@@ -9,14 +9,14 @@
   formatChunks,
   formatSound,
   insertLine,
+  MALFORMED_LINE_ENDS,
   type ResponseBytes,
   type ResponseContent,
-  SPOILT_LINE_ENDS,
 } from "./response_bytes.ts";
 
 const CHUNKED = "Transfer-Encoding: chunked";
 /** Framings of a body in chunks. */
-const SPOILT_CODINGS = [
+const MALFORMED_CODINGS = [
   ...["", "gzip", "x", "chunke", "chunked, gzip", "chunked,", "chunked;q=1"],
   ...["gzip, chunked", "chunked, chunked", "chunked\t", "\xffchunked"],
   ...["gzip\r\nTransfer-Encoding: chunked"],
@@ -24,21 +24,21 @@
   ...["chunked\r\nTransfer-Encoding: gzip"],
 ].map((value) => `Transfer-Encoding: ${value}`);
 /** Framings of a body whose length is N. */
-const SPOILT_LENGTHS = [
+const MALFORMED_LENGTHS = [
   ...["+N", "-N", "0xN", "N.0", "", "N N", "N, N", "N;", "9".repeat(20)],
   ...["N\r\nContent-Length: N", "N\r\nContent-Length: 5"],
   ...[`N\r\n${CHUNKED}`, "N\r\nTransfer-Encoding: identity"],
 ].map((value) => `Content-Length: ${value}`);
 /** First lines of chunks whose size is N. */
-const SPOILT_SIZES = [
+const MALFORMED_SIZES = [
   ...["-N", "0xN", "", " N", "N ", "g", "N;\x01", "N;\x7f", "N x"],
   ...["f".repeat(17), ";a", "1"],
 ];
-const SPOILT_TRAILERS = [
+const MALFORMED_TRAILERS = [
   ...["X A: b", ": b", "XA : b", "XA", "X\x01A: b", "XA: b\x00", " XA: b"],
   ...["XA: b\r\n c", "Content-Length: 4", "Transfer-Encoding: gzip"],
   "Content-Encoding: gzip",
-  ...SPOILT_LINE_ENDS.map((end) => `XA: b${end}XB: c`),
+  ...MALFORMED_LINE_ENDS.map((end) => `XA: b${end}XB: c`),
 ];
 
 /**
@@ -46,11 +46,11 @@
  *
  * @example
  * ```ts
- * const [spoilt] = listSpoiltFramings({ headers: [], body: "body" });
+ * const [malformed] = listMalformedFramings({ headers: [], body: "body" });
  * ```
  * @param content - What each response holds.
  */
-export function listSpoiltFramings(
+export function listMalformedFramings(
   content: ResponseContent,
 ): readonly ResponseBytes[] {
   const length = String(content.body.length);
@@ -58,8 +58,8 @@
   const sound = formatSound(content);
   const chunked = createFramed(inChunks, CHUNKED).text;
   return [
-    ...SPOILT_CODINGS.map((field) => createFramed(inChunks, field)),
-    ...SPOILT_LENGTHS.map((field) =>
+    ...MALFORMED_CODINGS.map((field) => createFramed(inChunks, field)),
+    ...MALFORMED_LENGTHS.map((field) =>
       createFramed(content, field.replaceAll("N", length))
     ),
     createTitled(chunked.replace("1.1", "1.0")),
@@ -90,15 +90,15 @@
 
 /**
  * Lists responses in chunks that the head does not name, as the name of the field is
- * misspelt or the line is another one.
+ * misspelled or the line is another one.
  *
  * @example
  * ```ts
- * const [unnamed] = listUnnamedChunks({ headers: [], body: "body" });
+ * const [undeclared] = listUndeclaredChunks({ headers: [], body: "body" });
  * ```
  * @param content - What each response holds.
  */
-export function listUnnamedChunks(
+export function listUndeclaredChunks(
   content: ResponseContent,
 ): readonly ResponseBytes[] {
   const inChunks = { ...content, body: formatChunks(content.body) };
@@ -117,22 +117,22 @@
  *
  * @example
  * ```ts
- * const [spoilt] = listSpoiltChunks({ headers: [], body: "body" });
+ * const [malformed] = listMalformedChunks({ headers: [], body: "body" });
  * ```
  * @param content - What each response holds.
  */
-export function listSpoiltChunks(
+export function listMalformedChunks(
   content: ResponseContent,
 ): readonly ResponseBytes[] {
   const sound = formatChunks(content.body);
   const size = content.body.length.toString(16);
   const rest = sound.slice(size.length);
   return [
-    ...SPOILT_SIZES.map((line) => line.replace("N", size) + rest),
-    ...SPOILT_TRAILERS.map((line) =>
+    ...MALFORMED_SIZES.map((line) => line.replace("N", size) + rest),
+    ...MALFORMED_TRAILERS.map((line) =>
       sound.slice(0, -"\r\n".length) + `${line}\r\n\r\n`
     ),
-    ...listSpoiltEnds(sound),
+    ...listMalformedEnds(sound),
   ].map((chunks) => {
     const { text } = createFramed({ ...content, body: chunks }, CHUNKED);
     return createTitled(text, chunks);
@@ -140,10 +140,10 @@
 }
 
 /** Lists chunks with one line end that is none. */
-function listSpoiltEnds(chunks: string): readonly string[] {
+function listMalformedEnds(chunks: string): readonly string[] {
   return [...chunks.matchAll(/\r\n/g)].flatMap(({ index }) =>
-    SPOILT_LINE_ENDS.map((end) =>
+    MALFORMED_LINE_ENDS.map((end) =>
       chunks.slice(0, index) + end + chunks.slice(index + 2)
     )
-  ).filter((spoilt) => !chunks.startsWith(spoilt));
+  ).filter((malformed) => !chunks.startsWith(malformed));
 }
--- a/packages/common/src/testing/spoilt_heads.ts
+++ b/packages/common/src/testing/malformed_heads.ts
@@ -8,13 +8,13 @@
   EARLY,
   formatSound,
   insertLine,
+  MALFORMED_LINE_ENDS,
   type ResponseBytes,
   type ResponseContent,
   SOUND_STATUS_LINE,
-  SPOILT_LINE_ENDS,
 } from "./response_bytes.ts";
 
-const SPOILT_STATUS_LINES = [
+const MALFORMED_STATUS_LINES = [
   ...["000", "001", "099", "101", "600", "900", "999", "20", "2000", "2x0"]
     .map((status) => `HTTP/1.1 ${status} OK`),
   ...["HTTP/0.9", "HTTP/2.0", "HTTP/1", "HTTP/1.1.1", "http/1.1", "RTSP/1.0"]
@@ -27,7 +27,7 @@
   "HTTP/1.1 OK 200",
   "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
 ];
-const SPOILT_FIELDS = [
+const MALFORMED_FIELDS = [
   ...[...CONTROL_BYTES, " ", "\t", "\x80", "\xff", "(", '"', "/", "@"]
     .flatMap((byte) => [`X${byte}A: b`, `XA${byte}: b`, `${byte}XA: b`]),
   ...CONTROL_BYTES.map((byte) => `XA: b${byte}c`),
@@ -35,7 +35,7 @@
   "no colon here",
   "XA",
   " Transfer-Encoding: chunked",
-  ...SPOILT_LINE_ENDS.map((end) => `XA: b${end}XB: c`),
+  ...MALFORMED_LINE_ENDS.map((end) => `XA: b${end}XB: c`),
 ];
 
 /**
@@ -43,11 +43,11 @@
  *
  * @example
  * ```ts
- * const [spoilt] = listSpoiltStatusLines({ headers: [], body: "a" });
+ * const [malformed] = listMalformedStatusLines({ headers: [], body: "a" });
  * ```
  * @param content - What each response holds.
  */
-export function listSpoiltStatusLines(
+export function listMalformedStatusLines(
   content: ResponseContent,
 ): readonly ResponseBytes[] {
   const sound = formatSound(content);
@@ -61,8 +61,8 @@
     `\r\n${EARLY}`,
   ];
   return [
-    ...SPOILT_STATUS_LINES.map((line) => line + rest),
-    ...SPOILT_LINE_ENDS.map((end) =>
+    ...MALFORMED_STATUS_LINES.map((line) => line + rest),
+    ...MALFORMED_LINE_ENDS.map((end) =>
       SOUND_STATUS_LINE + end + rest.slice("\r\n".length)
     ),
     ...["\r\n", "\n", "\r", "x", ...early].map((before) => before + sound),
@@ -75,15 +75,15 @@
  *
  * @example
  * ```ts
- * const [spoilt] = listSpoiltFields({ headers: [], body: "a" });
+ * const [malformed] = listMalformedFields({ headers: [], body: "a" });
  * ```
  * @param content - What each response holds.
  */
-export function listSpoiltFields(
+export function listMalformedFields(
   content: ResponseContent,
 ): readonly ResponseBytes[] {
   const sound = formatSound(content);
   return [sound, EARLY + sound].flatMap((text) =>
-    SPOILT_FIELDS.map((line) => insertLine(text, line))
+    MALFORMED_FIELDS.map((line) => insertLine(text, line))
   );
 }
--- a/packages/common/src/testing/spoilt_responses.ts
+++ b/packages/common/src/testing/malformed_responses.ts
@@ -5,30 +5,33 @@
 import type { ResponseBytes, ResponseContent } from "./response_bytes.ts";
 import {
   listEncodedResponses,
-  listSpoiltChunks,
-  listSpoiltFramings,
-  listUnnamedChunks,
-} from "./spoilt_bodies.ts";
-import { listSpoiltFields, listSpoiltStatusLines } from "./spoilt_heads.ts";
+  listMalformedChunks,
+  listMalformedFramings,
+  listUndeclaredChunks,
+} from "./malformed_bodies.ts";
+import {
+  listMalformedFields,
+  listMalformedStatusLines,
+} from "./malformed_heads.ts";
 
 /**
  * Lists all responses that no reader may take for one.
  *
  * @example
  * ```ts
- * const [spoilt] = listSpoiltResponses({ headers: [], body: "body" });
+ * const [malformed] = listMalformedResponses({ headers: [], body: "body" });
  * ```
  * @param content - What each response holds.
  */
-export function listSpoiltResponses(
+export function listMalformedResponses(
   content: ResponseContent,
 ): readonly ResponseBytes[] {
   return [
-    listSpoiltStatusLines,
-    listSpoiltFields,
-    listSpoiltFramings,
+    listMalformedStatusLines,
+    listMalformedFields,
+    listMalformedFramings,
     listEncodedResponses,
-    listUnnamedChunks,
-    listSpoiltChunks,
+    listUndeclaredChunks,
+    listMalformedChunks,
   ].flatMap((list) => list(content));
 }
--- a/packages/common/src/testing/response_bytes.ts
+++ b/packages/common/src/testing/response_bytes.ts
@@ -1,7 +1,7 @@
 /**
  * Formats the bytes of responses for the tests of all readers. The lists of such
  * responses stand beside this module: ones that are no HTTP response though a parser
- * may take them for one, and rare ones that have to stay whole.
+ * may take them for one, and unusual ones that have to stay whole.
  * @module
  */
 
@@ -28,7 +28,7 @@
   ...[0x00, 0x01, 0x08, 0x0b, 0x0c, 0x0e, 0x1b, 0x1f, 0x7f],
 ].map((code) => String.fromCharCode(code));
 /** What stands in the place of a line end. */
-export const SPOILT_LINE_ENDS = ["\n", "\r", "\r\r\n", "\rx", "x\n", "\n\r"];
+export const MALFORMED_LINE_ENDS = ["\n", "\r", "\r\r\n", "\rx", "x\n", "\n\r"];
 
 const MAX_TITLE_CHARACTERS = 60;
 
--- a/packages/common/src/testing/rare_responses.ts
+++ b/packages/common/src/testing/unusual_responses.ts
@@ -1,5 +1,5 @@
 /**
- * Lists rare responses that are HTTP and have to stay whole.
+ * Lists unusual responses that are HTTP and have to be returned whole.
  * @module
  */
 import {
@@ -45,15 +45,15 @@
 ];
 
 /**
- * Lists rare responses that are HTTP and have to stay whole.
+ * Lists unusual responses that are HTTP and have to be returned whole.
  *
  * @example
  * ```ts
- * const [rare] = listRareResponses({ headers: [], body: "a" });
+ * const [unusual] = listUnusualResponses({ headers: [], body: "a" });
  * ```
  * @param content - What each response holds.
  */
-export function listRareResponses(
+export function listUnusualResponses(
   content: ResponseContent,
 ): readonly ResponseBytes[] {
   const sound = formatSound(content);
@@ -68,12 +68,12 @@
         field.replace(/N(?=( |$))/, String(content.body.length)),
       )
     ),
-    ...listRareChunks(content),
+    ...listUnusualChunks(content),
     ...INFORMATIONAL.map((early) => createTitled(early + sound)),
   ];
 }
 
-function listRareChunks(content: ResponseContent): readonly ResponseBytes[] {
+function listUnusualChunks(content: ResponseContent): readonly ResponseBytes[] {
   const { body } = content;
   const size = body.length.toString(16);
   const rest = (body.length - 1).toString(16);
--- a/packages/common/test/http/response_scanner_test.ts
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -2,18 +2,18 @@
 import { Buffer } from "node:buffer";
 import { describe, it } from "node:test";
 import { ResponseScanner } from "../../src/http/response_scanner.ts";
-import { listRareResponses } from "../../src/testing/rare_responses.ts";
+import { listUnusualResponses } from "../../src/testing/unusual_responses.ts";
 import type { ResponseBytes } from "../../src/testing/response_bytes.ts";
 import {
   listEncodedResponses,
-  listSpoiltChunks,
-  listSpoiltFramings,
-  listUnnamedChunks,
-} from "../../src/testing/spoilt_bodies.ts";
+  listMalformedChunks,
+  listMalformedFramings,
+  listUndeclaredChunks,
+} from "../../src/testing/malformed_bodies.ts";
 import {
-  listSpoiltFields,
-  listSpoiltStatusLines,
-} from "../../src/testing/spoilt_heads.ts";
+  listMalformedFields,
+  listMalformedStatusLines,
+} from "../../src/testing/malformed_heads.ts";
 
 const CONTENT = { headers: ["X-Signature: s"], body: "body" };
 
@@ -55,13 +55,13 @@
     });
   }
 
-  doTest("rejects status lines", listSpoiltStatusLines(CONTENT), false);
-  doTest("rejects fields", listSpoiltFields(CONTENT), false);
-  doTest("rejects framings", listSpoiltFramings(CONTENT), false);
-  doTest("rejects chunks", listSpoiltChunks(CONTENT), false);
+  doTest("rejects status lines", listMalformedStatusLines(CONTENT), false);
+  doTest("rejects fields", listMalformedFields(CONTENT), false);
+  doTest("rejects framings", listMalformedFramings(CONTENT), false);
+  doTest("rejects chunks", listMalformedChunks(CONTENT), false);
   doTest("rejects encodings", listEncodedResponses(CONTENT), false);
-  doTest("rejects unnamed chunks", listUnnamedChunks(CONTENT), false);
-  doTest("accepts rare responses", listRareResponses(CONTENT), true);
+  doTest("rejects undeclared chunks", listUndeclaredChunks(CONTENT), false);
+  doTest("accepts unusual responses", listUnusualResponses(CONTENT), true);
 
   it("accepts fields that frame a body where none follows", () => {
     for (const framing of ["Content-Length: 4", "Transfer-Encoding: chunked"]) {
@@ -101,7 +101,7 @@
     for (const { text } of listEncodedResponses(CONTENT)) {
       const scanner = new ResponseScanner({
         method: "GET",
-        isEncodingAsked: true,
+        acceptsEncoding: true,
       });
       scanner.checkBytes(Buffer.from(text, "latin1"));
       assert.equal(scanner.fault, undefined);
--- a/packages/common/test/http/response_syntax_guard_test.ts
+++ b/packages/common/test/http/response_syntax_guard_test.ts
@@ -6,18 +6,18 @@
 import { PortError } from "../../src/errors/errors.ts";
 import { HttpSender } from "../../src/http/http_sender.ts";
 import { ResponseMemory } from "../../src/http/response_memory.ts";
-import { listRareResponses } from "../../src/testing/rare_responses.ts";
+import { listUnusualResponses } from "../../src/testing/unusual_responses.ts";
 import type { ResponseBytes } from "../../src/testing/response_bytes.ts";
 import {
   listEncodedResponses,
-  listSpoiltChunks,
-  listSpoiltFramings,
-  listUnnamedChunks,
-} from "../../src/testing/spoilt_bodies.ts";
+  listMalformedChunks,
+  listMalformedFramings,
+  listUndeclaredChunks,
+} from "../../src/testing/malformed_bodies.ts";
 import {
-  listSpoiltFields,
-  listSpoiltStatusLines,
-} from "../../src/testing/spoilt_heads.ts";
+  listMalformedFields,
+  listMalformedStatusLines,
+} from "../../src/testing/malformed_heads.ts";
 
 const CONTENT = { headers: ["X-Signature: s"], body: "body" };
 const SOUND = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound";
@@ -117,11 +117,15 @@
     }
   }
 
-  doTest("rejects status lines", listSpoiltStatusLines(CONTENT), "unknown");
-  doTest("rejects fields", listSpoiltFields(CONTENT), "unknown");
-  doTest("rejects framings", listSpoiltFramings(CONTENT), "unknown");
-  doTest("rejects chunks", listSpoiltChunks(CONTENT), "unknown");
+  doTest("rejects status lines", listMalformedStatusLines(CONTENT), "unknown");
+  doTest("rejects fields", listMalformedFields(CONTENT), "unknown");
+  doTest("rejects framings", listMalformedFramings(CONTENT), "unknown");
+  doTest("rejects chunks", listMalformedChunks(CONTENT), "unknown");
   doTest("rejects encodings", listEncodedResponses(CONTENT), "unknown");
-  doTest("rejects unnamed chunks", listUnnamedChunks(CONTENT), "unknown");
-  doTest("returns rare responses", listRareResponses(CONTENT), CONTENT.body);
+  doTest("rejects undeclared chunks", listUndeclaredChunks(CONTENT), "unknown");
+  doTest(
+    "returns unusual responses",
+    listUnusualResponses(CONTENT),
+    CONTENT.body,
+  );
 });
--- a/packages/edge/src/calls/stream_call.ts
+++ b/packages/edge/src/calls/stream_call.ts
@@ -5,7 +5,10 @@
  */
 import { abortResponse } from "@briarhill/common/http/abort_response";
 import { drainBody } from "@briarhill/common/http/body_reader";
-import { isComplete } from "@briarhill/common/http/response_completeness";
+import {
+  getBreakCause,
+  isComplete,
+} from "@briarhill/common/http/response_completeness";
 import type { HttpResponseHead } from "@briarhill/common/http/http_exchange";
 import { PortError } from "@briarhill/common/errors/errors";
 import type { Clock } from "@briarhill/common/time/clock";
@@ -18,6 +21,16 @@
 /** The outcome of a relayed response. */
 export type StreamOutcome = "whole" | "cut" | "not-run" | "unknown";
 
+/** A request for a stream, and what is needed to send it. */
+export interface StreamCall {
+  readonly sender: EndpointSender;
+  readonly request: EndpointRequest;
+  readonly logger: Logger;
+  readonly clock: Clock;
+  /** The time until the caller's deadline for the complete response, in milliseconds. */
+  readonly remainingMs: number;
+}
+
 /**
  * Sends a request to one endpoint and relays the response to the caller.
  *
@@ -42,14 +55,7 @@
  */
 export async function streamResponse(
   response: ServerResponse,
-  call: {
-    readonly sender: EndpointSender;
-    readonly request: EndpointRequest;
-    readonly logger: Logger;
-    readonly clock: Clock;
-    /** The time until the caller's deadline for the complete response, in milliseconds. */
-    readonly remainingMs: number;
-  },
+  call: StreamCall,
 ): Promise<StreamOutcome> {
   try {
     return await call.sender.run(call.request, async ({ head, answer }) => {
@@ -57,14 +63,7 @@
         drainBody(head.stream);
         return "not-run";
       }
-      const timer = call.clock.setTimer(call.remainingMs, () => {
-        call.logger.warn("stream-past-deadline", {
-          request: call.request.attemptId,
-          endpoint: call.request.endpoint.id,
-        });
-        head.stream.destroy();
-      });
-      return await streamBody(response, head).finally(() => timer.cancel());
+      return await streamInTime(response, head, call);
     });
   } catch (error) {
     if (!(error instanceof PortError)) {
@@ -81,6 +80,25 @@
   }
 }
 
+async function streamInTime(
+  response: ServerResponse,
+  head: HttpResponseHead,
+  { clock, remainingMs, logger, request }: StreamCall,
+): Promise<StreamOutcome> {
+  const fields = { request: request.attemptId, endpoint: request.endpoint.id };
+  const timer = clock.setTimer(remainingMs, () => {
+    logger.warn("stream-past-deadline", fields);
+    head.stream.destroy();
+  });
+  const outcome = await streamBody(response, head);
+  timer.cancel();
+  const cause = getBreakCause(head.stream);
+  if (cause !== undefined) {
+    logger.warn("stream-malformed", { ...fields, reason: cause.message });
+  }
+  return outcome;
+}
+
 /**
  * Relays a response to the caller as it arrives.
  *
--- a/packages/edge/src/lots/generation_reader.ts
+++ b/packages/edge/src/lots/generation_reader.ts
@@ -2,7 +2,10 @@
  * Reads the event stream of one attempt at a sample.
  * @module
  */
-import { isComplete } from "@briarhill/common/http/response_completeness";
+import {
+  getBreakCause,
+  isComplete,
+} from "@briarhill/common/http/response_completeness";
 import { InputError, type PortError } from "@briarhill/common/errors/errors";
 import { createPortError } from "@briarhill/common/errors/port_error";
 import type { Clock, Timer } from "@briarhill/common/time/clock";
@@ -149,7 +152,7 @@
     }
     return isComplete(stream) && !this.#decoder.hasPartialEvent
       ? { end: "finished", reason: "" }
-      : { end: "broken", reason: "cut" };
+      : { end: "broken", reason: getBreakCause(stream)?.message ?? "cut" };
   }
 
   #createTimeoutError(): PortError {
--- a/packages/edge/test/calls/call_forwarder_test.ts
+++ b/packages/edge/test/calls/call_forwarder_test.ts
@@ -1,4 +1,4 @@
-import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
+import { listMalformedResponses } from "@briarhill/common/testing/malformed_responses";
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
 import { describe, it } from "node:test";
@@ -58,9 +58,9 @@
     assert.ok(tookMs < AT_ONCE_MS, `${tookMs} ms for 10 calls`);
   });
 
-  const spoilt = listSpoiltResponses({
+  const malformed = listMalformedResponses({
     headers: HEAD.trimEnd().split("\r\n").slice(1),
-    body: "spoilt",
+    body: "malformed",
   });
 
   /** Forwards a call to endpoints that answer with these bytes. */
@@ -91,7 +91,7 @@
   /** Callers got 500, or content that was not the server's, though another endpoint was sound. */
   it("sends an idempotent call to another endpoint after bytes that are no HTTP response", async () => {
     const sound = createRawResponse("a", "sound");
-    for (const { title, text } of spoilt) {
+    for (const { title, text } of malformed) {
       const { outcome } = await forwardTo([text, sound], "idempotent");
       assert.equal(outcome.kind, "answered", title);
       const { body } = outcome.kind === "answered" ? outcome.httpAnswer : {};
@@ -101,7 +101,7 @@
 
   /** A non-idempotent request may have run, whatever its response looks like. */
   it("fails a non-idempotent call after bytes that are no HTTP response, without another attempt", async () => {
-    for (const { title, text } of spoilt) {
+    for (const { title, text } of malformed) {
       const { outcome, requests } = await forwardTo(
         [text, text],
         "non-idempotent",
--- a/packages/edge/test/calls/endpoint_failure_test.ts
+++ b/packages/edge/test/calls/endpoint_failure_test.ts
@@ -1,5 +1,5 @@
-import { listRareResponses } from "@briarhill/common/testing/rare_responses";
-import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
+import { listUnusualResponses } from "@briarhill/common/testing/unusual_responses";
+import { listMalformedResponses } from "@briarhill/common/testing/malformed_responses";
 import { setLogWriter } from "@briarhill/common/logging/logger";
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
@@ -197,11 +197,11 @@
       headers: purpose === "control" ? ["X-Report: 1"] : headers,
       body: "body",
     };
-    it(`fails for the purpose "${purpose}" and returns rare responses`, async () => {
-      for (const { title, text } of listSpoiltResponses(content)) {
+    it(`fails for the purpose "${purpose}" and returns unusual responses`, async () => {
+      for (const { title, text } of listMalformedResponses(content)) {
         assert.equal(await sendTo(text, purpose), "unknown", title);
       }
-      for (const { title, text } of listRareResponses(content)) {
+      for (const { title, text } of listUnusualResponses(content)) {
         const expected = purpose === "scoring" ? "" : "body";
         assert.equal(await sendTo(text, purpose), expected, title);
       }
--- a/packages/edge/test/calls/stream_call_test.ts
+++ b/packages/edge/test/calls/stream_call_test.ts
@@ -1,5 +1,5 @@
-import { listRareResponses } from "@briarhill/common/testing/rare_responses";
-import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
+import { listUnusualResponses } from "@briarhill/common/testing/unusual_responses";
+import { listMalformedResponses } from "@briarhill/common/testing/malformed_responses";
 import { Logger, setLogWriter } from "@briarhill/common/logging/logger";
 import assert from "node:assert/strict";
 import { createServer, type Server } from "node:http";
@@ -176,10 +176,10 @@
   });
 
   /** Callers got the sizes of chunks, or a part of a head, as events of their stream. */
-  it("completes no stream whose bytes are no HTTP response, and each rare one", async () => {
+  it("completes no stream whose bytes are no HTTP response, and each unusual one", async () => {
     const headers = HEAD.trimEnd().split("\r\n").slice(1);
     const content = { headers, body: EVENT };
-    for (const { title, text } of listSpoiltResponses(content)) {
+    for (const { title, text } of listMalformedResponses(content)) {
       const { text: read, outcome } = await streamOnce((socket) =>
         socket.end(text, "latin1")
       );
@@ -187,7 +187,7 @@
       assert.ok(!read.startsWith("HTTP/1.1 200") || outcome === "cut", title);
       assert.ok(outcome !== "cut" || !read.endsWith(LAST_CHUNK), title);
     }
-    for (const { title, text } of listRareResponses(content)) {
+    for (const { title, text } of listUnusualResponses(content)) {
       const { text: read, outcome } = await streamOnce((socket) =>
         socket.end(text, "latin1")
       );
--- a/packages/edge/test/lots/sample_generation_test.ts
+++ b/packages/edge/test/lots/sample_generation_test.ts
@@ -1,5 +1,5 @@
-import { listRareResponses } from "@briarhill/common/testing/rare_responses";
-import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
+import { listUnusualResponses } from "@briarhill/common/testing/unusual_responses";
+import { listMalformedResponses } from "@briarhill/common/testing/malformed_responses";
 import { setLogWriter } from "@briarhill/common/logging/logger";
 import { SampleTask } from "@briarhill/rollout/dispatch/sample_task";
 import type { SampleRequest } from "@briarhill/rollout/ledger/lot_request";
@@ -227,16 +227,17 @@
   });
 
   /** Trainers learned from texts that no engine had sent. */
-  it("finishes no sample from bytes that are no HTTP response, and from each rare one", async () => {
+  it("finishes no sample from bytes that are no HTTP response, and from each unusual one", async () => {
     const headers = streamHead.trimEnd().split("\r\n").slice(1);
     const body = "id: 0\ndata: e\n\n";
-    for (const { title, text } of listSpoiltResponses({ headers, body })) {
+    for (const { title, text } of listMalformedResponses({ headers, body })) {
       const { report } = await runScript((socket) =>
         socket.end(text, "latin1")
       );
       assert.equal(report.end, "broken", title);
+      assert.match(report.reason, /^(malformed|no HTTP response: .*)$/, title);
     }
-    for (const { title, text } of listRareResponses({ headers, body })) {
+    for (const { title, text } of listUnusualResponses({ headers, body })) {
       const { report, task } = await runScript((socket) =>
         socket.end(text, "latin1")
       );
--- a/packages/edge/test/peers/relayed_transport_test.ts
+++ b/packages/edge/test/peers/relayed_transport_test.ts
@@ -1,6 +1,6 @@
 import { ResponseMemory } from "@briarhill/common/http/response_memory";
-import { listRareResponses } from "@briarhill/common/testing/rare_responses";
-import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
+import { listUnusualResponses } from "@briarhill/common/testing/unusual_responses";
+import { listMalformedResponses } from "@briarhill/common/testing/malformed_responses";
 import { Logger, setLogWriter } from "@briarhill/common/logging/logger";
 import { SystemClock } from "@briarhill/common/time/system_clock";
 import assert from "node:assert/strict";
@@ -111,7 +111,7 @@
 
 describe("RelayedTransport.call with bytes that are no HTTP response", () => {
   /** A host read records, or the outcome of an append, from bytes that the store had not sent. */
-  it("rejects them, and returns rare responses", async () => {
+  it("rejects them, and returns unusual responses", async () => {
     let text = "";
     const store = createTcpServer((socket) => {
       socket.on("error", () => undefined);
@@ -133,16 +133,16 @@
       timeoutMs: CALL_TIMEOUT_MS,
       mayRelay: false,
     } as const;
-    for (const spoilt of listSpoiltResponses(content)) {
-      text = spoilt.text;
+    for (const malformed of listMalformedResponses(content)) {
+      text = malformed.text;
       const outcome = await transport.callDirect(call)
         .then(({ body }) => body.toString(), (error) => error.outcome);
-      assert.equal(outcome, "unknown", spoilt.title);
+      assert.equal(outcome, "unknown", malformed.title);
     }
-    for (const rare of listRareResponses(content)) {
-      text = rare.text;
+    for (const unusual of listUnusualResponses(content)) {
+      text = unusual.text;
       const { body } = await transport.callDirect(call);
-      assert.equal(body.toString(), "[1]", rare.title);
+      assert.equal(body.toString(), "[1]", unusual.title);
     }
     transport.close();
     store.close();
--- a/packages/fakes/src/platform/endpoint_stand_in.ts
+++ b/packages/fakes/src/platform/endpoint_stand_in.ts
@@ -209,7 +209,7 @@
     const { remoteAddress, remotePort } = request.socket;
     this.leaving.checkAttempt(attemptId, `${remoteAddress}:${remotePort}`);
     this.runs.push(received);
-    if (this.endings.writeSpoilt(response, headers)) {
+    if (this.endings.writeMalformed(response, headers)) {
       return;
     }
     const isEngine = this.options.models.length > 0;
--- a/packages/fakes/src/platform/response_endings.ts
+++ b/packages/fakes/src/platform/response_endings.ts
@@ -3,26 +3,26 @@
  * apart.
  * @module
  */
-import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
+import { listMalformedResponses } from "@briarhill/common/testing/malformed_responses";
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 
 /**
  * How a response ends: "framed" by its length or last chunk, "unframed" with its
  * connection, "reset" by a reset of its connection after a part of a body without
- * a length; "spoilt" if its bytes are no HTTP response.
+ * a length; "malformed" if its bytes are no HTTP response.
  */
-export type ResponseEnding = "framed" | "unframed" | "reset" | "spoilt";
+export type ResponseEnding = "framed" | "unframed" | "reset" | "malformed";
 
-/** The body of spoilt responses, which no endpoint sends otherwise. */
-export const SPOILT_BODY = "spoilt";
+/** The body of malformed responses, which no endpoint sends otherwise. */
+export const MALFORMED_BODY = "malformed";
 
 /** Ends the responses of one endpoint. */
 export class ResponseEndings {
   /** How responses end that begin from now on. */
   ending: ResponseEnding = "framed";
   readonly #unframed = new Set<ServerResponse>();
-  #spoiltCount = 0;
+  #malformedCount = 0;
 
   /**
    * Prepares a response, before its head is written, for the way in which it ends.
@@ -46,21 +46,22 @@
    * @param response - The response, whose head has not been written.
    * @param headers - The fields of the head.
    */
-  writeSpoilt(
+  writeMalformed(
     response: ServerResponse,
     headers: Readonly<Record<string, string>>,
   ): boolean {
-    if (this.ending !== "spoilt") {
+    if (this.ending !== "malformed") {
       return false;
     }
-    const responses = listSpoiltResponses({
+    const responses = listMalformedResponses({
       headers: Object.entries(headers).map(([name, value]) =>
         `${name}: ${value}`
       ),
-      body: SPOILT_BODY,
+      body: MALFORMED_BODY,
     });
-    const { text = "" } = responses[this.#spoiltCount++ % responses.length] ??
-      {};
+    const { text = "" } =
+      responses[this.#malformedCount++ % responses.length] ??
+        {};
     response.socket?.end(text, "latin1");
     return true;
   }
@@ -96,6 +97,22 @@
     response.write(part, () => response.socket?.resetAndDestroy());
   }
 
+  /**
+   * Closes a response before its end, after some last bytes. A plain close would be the end of a
+   * response without a length.
+   *
+   * @param response - The response.
+   * @param part - The last bytes.
+   */
+  closeEarly(response: ServerResponse, part: string): void {
+    if (this.#unframed.has(response)) {
+      this.abort(response, part);
+    } else {
+      response.write(part);
+      response.destroy();
+    }
+  }
+
   /** Resets the connections of responses whose plain end would look complete. */
   abortAll(): void {
     this.#unframed.forEach(({ socket }) => socket?.resetAndDestroy());
--- a/packages/ports/src/http/guarded_sockets.ts
+++ b/packages/ports/src/http/guarded_sockets.ts
@@ -26,7 +26,7 @@
   if (GUARDED_SOCKETS.has(socket)) {
     GUARD.addRequest(socket, {
       method: request.method,
-      isEncodingAsked: ACCEPT_ENCODING.test(headers),
+      acceptsEncoding: ACCEPT_ENCODING.test(headers),
       onFault: (error) => socket.destroy(error),
     });
   }
--- a/packages/ports/test/http/guarded_sockets_test.ts
+++ b/packages/ports/test/http/guarded_sockets_test.ts
@@ -1,7 +1,7 @@
 import { PortError } from "@briarhill/common/errors/errors";
-import { listRareResponses } from "@briarhill/common/testing/rare_responses";
-import { listEncodedResponses } from "@briarhill/common/testing/spoilt_bodies";
-import { listSpoiltResponses } from "@briarhill/common/testing/spoilt_responses";
+import { listUnusualResponses } from "@briarhill/common/testing/unusual_responses";
+import { listEncodedResponses } from "@briarhill/common/testing/malformed_bodies";
+import { listMalformedResponses } from "@briarhill/common/testing/malformed_responses";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { type HttpCall, HttpClient } from "../../src/http/http_client.ts";
@@ -43,13 +43,13 @@
 /** Events, scores and pages of the log were read from bytes that no server had sent. */
 describe("HttpClient with bytes that are no HTTP response", () => {
   it("fails", async () => {
-    for (const { title, text } of listSpoiltResponses(CONTENT)) {
+    for (const { title, text } of listMalformedResponses(CONTENT)) {
       assert.equal(await sendTo(text), "failed", title);
     }
   });
 
-  it("returns rare responses", async () => {
-    for (const { title, text } of listRareResponses(CONTENT)) {
+  it("returns unusual responses", async () => {
+    for (const { title, text } of listUnusualResponses(CONTENT)) {
       // The library fails a call at a 100 that it did not ask for.
       const expected = text.startsWith(CONTINUE) ? "failed" : CONTENT.body;
       assert.equal(await sendTo(text), expected, title);
