Reset responses without a length that a broken engine stand-in ends early

Ruled out: the new checks (the hosts logged no fault of a response for these streams, and the last tries all had three events); narrowing the check of the soak.

Change: the stand-in resets such a connection, as its fault "reset" does.

--- a/packages/fakes/src/platform/event_stream.ts
+++ b/packages/fakes/src/platform/event_stream.ts
@@ -41,8 +41,7 @@
     const rest = "x".repeat(source.eventBytes);
     const event = `id: ${id}\ndata: ${data}${rest}\n\n`;
     if (id - from >= source.breakAfter) {
-      response.write(`id: ${id}\nda`);
-      response.destroy();
+      source.endings.closeEarly(response, `id: ${id}\nda`);
       return;
     }
     if (source.endings.isReset(response)) {
