Bound the lines of chunks, and give malformed responses a body of their own

Cause: a body without a length that holds no line end was kept up to 256 KiB a connection, while it was checked for chunks that the head does not declare.

Change: a chunk size has at most 16 KiB, a body that does not begin with a digit is not checked for chunks; the body of the malformed responses is a text that no host writes.

--- a/packages/common/src/http/chunk_scanner.ts
+++ b/packages/common/src/http/chunk_scanner.ts
@@ -10,6 +10,8 @@
 
 const CHUNK_END = "\r\n";
 const SIZE_LINE = /^0*([0-9a-f]{1,13})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?$/i;
+/** The maximum size of a chunk size with its extensions, or of a trailer, in bytes. */
+const MAX_LINE_BYTES = 16_384;
 /** Fields that change how a body was to be read once it has been read. */
 const HEAD_FIELDS: ReadonlySet<string> = new Set([
   "content-encoding",
@@ -19,7 +21,7 @@
 
 /** Checks one body, whose bytes arrive in pieces. */
 export class ChunkScanner {
-  readonly #lines = new CrlfReader();
+  readonly #lines = new CrlfReader(MAX_LINE_BYTES);
   #part: "size" | "data" | "data-end" | "trailers" | "complete" = "size";
   /** The bytes of the data, or of its end, that have not arrived. */
   #missingBytes = 0;
--- a/packages/common/src/http/crlf_reader.ts
+++ b/packages/common/src/http/crlf_reader.ts
@@ -9,7 +9,7 @@
 const LF = 0x0a;
 const LINE_END = "\r\n";
 const BARE_CR = /\r[^\n]/;
-/** The maximum size of a line, in bytes; the parsers in use reject heads that are far smaller. */
+/** The default maximum size of a line, in bytes; the parsers in use reject heads that are far smaller. */
 const MAX_LINE_BYTES = 262_144;
 
 /** What {@link CrlfReader.readLine} has read. */
@@ -22,11 +22,17 @@
 
 /** Reads lines from bytes that arrive in pieces. */
 export class CrlfReader {
+  readonly #maxLineBytes: number;
   #text = "";
 
+  /** @param maxLineBytes - The maximum size of a line, in bytes. */
+  constructor(maxLineBytes: number = MAX_LINE_BYTES) {
+    this.#maxLineBytes = maxLineBytes;
+  }
+
   /**
    * Reads to the end of the line. Throws a `ResponseSyntaxError` if the line holds a
-   * CR or an LF that is not a part of its end.
+   * CR or an LF that is not a part of its end, or is too long.
    *
    * @param bytes - The bytes that have arrived.
    * @param offset - The offset of the first byte to read.
@@ -37,9 +43,9 @@
     const added = bytes.toString("latin1", offset, end);
     const last = this.#text.at(-1) ?? "";
     this.#text += added;
-    if (BARE_CR.test(last + added) || this.#text.length > MAX_LINE_BYTES) {
+    if (BARE_CR.test(last + added) || this.#text.length > this.#maxLineBytes) {
       throw createResponseFault(
-        "a line that does not end with CR and LF",
+        "a line without CR and LF",
         this.#text,
       );
     }
@@ -51,7 +57,7 @@
     this.#text = "";
     if (!text.endsWith(LINE_END)) {
       throw createResponseFault(
-        "a line that does not end with CR and LF",
+        "a line without CR and LF",
         text,
       );
     }
--- a/packages/common/src/http/unframed_body_scanner.ts
+++ b/packages/common/src/http/unframed_body_scanner.ts
@@ -17,7 +17,9 @@
 /** Checks one body, whose bytes arrive in pieces. */
 export class UnframedBodyScanner {
   readonly #isEventStream: boolean;
+  /** Undefined once the body can't be chunks any more. */
   #chunks: ChunkScanner | undefined = new ChunkScanner();
+  #hasBegun = false;
 
   /**
    * @param head - The head of the response. Throws a `ResponseSyntaxError` if it
@@ -39,6 +41,10 @@
    * @param offset - The offset of the first byte to check.
    */
   checkPart(bytes: Buffer, offset: number): number {
+    if (!this.#hasBegun && !isHexDigit(bytes[offset])) {
+      this.#chunks = undefined;
+    }
+    this.#hasBegun = true;
     this.#readChunks(bytes, offset);
     if (this.#isEventStream && this.#chunks?.hasChunk === true) {
       throw createUndeclaredChunksFault();
@@ -94,6 +100,10 @@
   );
 }
 
+function isHexDigit(byte: number | undefined): boolean {
+  return byte !== undefined && /[0-9a-f]/i.test(String.fromCharCode(byte));
+}
+
 function createUndeclaredChunksFault(): ResponseSyntaxError {
   return createResponseFault("chunks that the head does not declare", "");
 }
--- a/packages/fakes/src/platform/response_endings.ts
+++ b/packages/fakes/src/platform/response_endings.ts
@@ -15,7 +15,7 @@
 export type ResponseEnding = "framed" | "unframed" | "reset" | "malformed";
 
 /** The body of malformed responses, which no endpoint sends otherwise. */
-export const MALFORMED_BODY = "malformed";
+export const MALFORMED_BODY = "bytes of no endpoint";
 
 /** Ends the responses of one endpoint. */
 export class ResponseEndings {
