Read a line of blanks in one pass

Cause: the pattern of a header field had several ways to match blanks around a value, so that a long line of blanks that ends in a control byte took the processor for a time that grew with the square of its length or faster. The scanner reads up to 64 KiB before the parser's limit of a head applies.

Ruled out: the other patterns; a size, a length and a status line have one way to match, or few.

Change: blanks are removed by a loop; the pattern has no two ways. Long lines of comments were wrapped.

Measured: three lines of 200,000 blanks, in a head and in chunks, are rejected within the bound of 1 s of the new test.

--- a/packages/bench/src/soak/soak_plan.ts
+++ b/packages/bench/src/soak/soak_plan.ts
@@ -99,7 +99,7 @@
   "responses-endless",
 ];
 
-/** Faults of their heads, added after those. */
+/** Responses that are no HTTP, added after those. */
 const MALFORMED_KINDS: readonly SoakFaultKind[] = ["responses-malformed"];
 
 /** The mean pause between two faults, in milliseconds; most last longer, so that they overlap. */
--- a/packages/common/src/http/crlf_reader.ts
+++ b/packages/common/src/http/crlf_reader.ts
@@ -44,10 +44,7 @@
     const last = this.#text.at(-1) ?? "";
     this.#text += added;
     if (BARE_CR.test(last + added) || this.#text.length > this.#maxLineBytes) {
-      throw createResponseFault(
-        "a line without CR and LF",
-        this.#text,
-      );
+      throw createResponseFault("a line without CR and LF", this.#text);
     }
     return { line: lfAt < 0 ? undefined : this.#takeLine(), offset: end };
   }
@@ -56,10 +53,7 @@
     const text = this.#text;
     this.#text = "";
     if (!text.endsWith(LINE_END)) {
-      throw createResponseFault(
-        "a line without CR and LF",
-        text,
-      );
+      throw createResponseFault("a line without CR and LF", text);
     }
     return text.slice(0, -LINE_END.length);
   }
--- a/packages/common/src/http/response_syntax.ts
+++ b/packages/common/src/http/response_syntax.ts
@@ -7,9 +7,8 @@
 /** The space after the status is missing from some servers' lines without a reason; no reader takes them for anything else. */
 const STATUS_LINE =
   /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?$/;
-/** The blanks around a value do not belong to it, but the parsers in use keep a tab behind it. */
-const FIELD_LINE =
-  /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?) *$/;
+/** Has no two ways to match, as a line may be long and hold any bytes. */
+const FIELD_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)$/;
 /** Has to be asked for, which no request here does. */
 const SWITCHING_PROTOCOLS_STATUS = 101;
 
@@ -60,5 +59,17 @@
   if (name === undefined || value === undefined) {
     throw createResponseFault("a malformed header field", line);
   }
-  return { name: name.toLowerCase(), value };
+  return { name: name.toLowerCase(), value: removeBlanks(value) };
+}
+
+/** Removes the blanks around a value, which do not belong to it, but not a tab behind it, which the parsers in use keep. */
+function removeBlanks(text: string): string {
+  let [begin, end] = [0, text.length];
+  while (text[begin] === " " || text[begin] === "\t") {
+    begin++;
+  }
+  while (end > begin && text[end - 1] === " ") {
+    end--;
+  }
+  return text.slice(begin, end);
 }
--- a/packages/common/test/http/response_scanner_test.ts
+++ b/packages/common/test/http/response_scanner_test.ts
@@ -107,4 +107,20 @@
       assert.equal(scanner.fault, undefined);
     }
   });
+
+  /** Backtracking over the blanks of one line kept a process busy for minutes. */
+  it("rejects long lines of blanks at once", () => {
+    const head = "HTTP/1.1 200 OK\r\n";
+    const blanks = " ".repeat(200_000);
+    const startMs = performance.now();
+    for (
+      const line of [`X:${blanks}\x01`, `X:a${blanks}\x01`, `0${blanks};\x01`]
+    ) {
+      assert.equal(isAccepted(`${head}${line}\r\n\r\n`, 1e6), false);
+      const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+      assert.equal(isAccepted(`${chunked}${line}\r\n`, 1e6), false);
+    }
+    const tookMs = performance.now() - startMs;
+    assert.ok(tookMs < 1_000, `took ${tookMs} ms`);
+  });
 });
--- a/packages/edge/src/calls/endpoint_failure.ts
+++ b/packages/edge/src/calls/endpoint_failure.ts
@@ -8,6 +8,8 @@
 import type { EndpointOutcome } from "@briarhill/routing/endpoints/endpoint_load";
 import type { EndpointRequest } from "./endpoint_request.ts";
 
+const FIRST_REDIRECT_STATUS = 300;
+
 /** Faults that are expected to affect the next requests to the endpoint as well. */
 const UNREACHABLE_FAULTS: ReadonlySet<PortFault> = new Set([
   "silent",
@@ -38,8 +40,6 @@
   });
 }
 
-const FIRST_REDIRECT_STATUS = 300;
-
 /** A response, and what is known of the connection that it arrived on. */
 export interface ReceivedResponse {
   readonly answer: EndpointResponseHead;
--- a/packages/fakes/src/platform/response_endings.ts
+++ b/packages/fakes/src/platform/response_endings.ts
@@ -59,10 +59,8 @@
       ),
       body: MALFORMED_BODY,
     });
-    const { text = "" } =
-      responses[this.#malformedCount++ % responses.length] ??
-        {};
-    response.socket?.end(text, "latin1");
+    const next = responses[this.#malformedCount++ % responses.length];
+    response.socket?.end(next?.text ?? "", "latin1");
     return true;
   }
 
@@ -98,8 +96,8 @@
   }
 
   /**
-   * Closes a response before its end, after some last bytes. A plain close would be the end of a
-   * response without a length.
+   * Closes a response before its end, after some last bytes. A plain close would be
+   * the end of a response without a length.
    *
    * @param response - The response.
    * @param part - The last bytes.
--- a/packages/ports/src/http/response_observer.ts
+++ b/packages/ports/src/http/response_observer.ts
@@ -19,8 +19,8 @@
 }
 
 /**
- * Creates a handler that passes events on but informational responses, and reports a response that ends with a
- * reset of its connection as failed.
+ * Creates a handler that passes events on except informational responses, and reports
+ * a response that ends with a reset of its connection as failed.
  *
  * @example
  * ```ts
