--- a/packages/common/src/http/chunk_scanner.ts
+++ b/packages/common/src/http/chunk_scanner.ts
@@ -1,6 +1,6 @@
 /**
- * Checks the bytes of a body in the chunked coding, trailers included. A parser
- * that skips what stands between two chunks reads a part of it as the body.
+ * Checks the bytes of a body in the chunked coding, trailers included. A parser that
+ * does not check the ends of chunks returns another body than the server's.
  * @module
  */
 import type { Buffer } from "node:buffer";
@@ -12,7 +12,7 @@
 const SIZE_LINE = /^0*([0-9a-f]{1,13})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?$/i;
 /** The maximum size of a chunk size with its extensions, or of a trailer, in bytes. */
 const MAX_LINE_BYTES = 16_384;
-/** Fields that change how a body was to be read once it has been read. */
+/** Fields that have no effect once the body has been read, and must not stand behind it. */
 const HEAD_FIELDS: ReadonlySet<string> = new Set([
   "content-encoding",
   "content-length",
--- a/packages/common/src/http/response_framing.ts
+++ b/packages/common/src/http/response_framing.ts
@@ -1,6 +1,6 @@
 /**
  * Decides where the body of a response ends. Readers that decide differently read
- * another body, so a head that leaves a doubt is no head.
+ * different bodies, so a head whose framing is ambiguous is rejected.
  * @module
  */
 import { createResponseFault } from "./response_fault.ts";
@@ -25,7 +25,7 @@
 
 /**
  * Throws a `ResponseSyntaxError` if the body of a response is said to be encoded,
- * as no request asks for an encoding, and a reader would take it as it is.
+ * which a reader that has not asked for an encoding would take as it is.
  *
  * @example
  * ```ts
@@ -44,7 +44,7 @@
 /**
  * Parses the fields that frame the body of a response. Throws a
  * `ResponseSyntaxError` if they are malformed, contradict each other or name a
- * transfer coding that no request asks for.
+ * transfer coding that the parsers in use do not decode.
  *
  * @example
  * ```ts
@@ -99,7 +99,7 @@
   return { kind: "length", bytes: Number(length) };
 }
 
-/** Some servers state a length of 0, which no reader takes for anything else. */
+/** A length of 0 is common in practice, and no reader takes it for anything else. */
 function throwIfFramed(framing: BodyFraming, head: ResponseHead): void {
   const isEmpty = framing.kind === "length" && framing.bytes === 0;
   if (framing.kind !== "connection" && !isEmpty) {
--- a/packages/common/src/http/response_scanner.ts
+++ b/packages/common/src/http/response_scanner.ts
@@ -1,7 +1,7 @@
 /**
  * Checks the bytes of one response against the grammar of HTTP/1.1. The parsers in
- * use accept more than the grammar, each release of them something else; a reader
- * must get no response, nor an informational one before it, that breaks it.
+ * use accept more than the grammar allows, and each release of them something else.
+ * No response, and no informational one before it, may reach a reader that breaks it.
  * @module
  */
 import type { Buffer } from "node:buffer";
--- a/packages/common/src/http/response_syntax.ts
+++ b/packages/common/src/http/response_syntax.ts
@@ -4,12 +4,12 @@
  */
 import { createResponseFault } from "./response_fault.ts";
 
-/** The space after the status is missing from some servers' lines without a reason; no reader takes them for anything else. */
+/** Some servers omit the space after the status if there is no reason; no reader takes such a line for anything else. */
 const STATUS_LINE =
   /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?$/;
-/** Has no two ways to match, as a line may be long and hold any bytes. */
+/** Must not backtrack, as a line may be long and hold any bytes. */
 const FIELD_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)$/;
-/** Has to be asked for, which no request here does. */
+/** No request here asks for another protocol. */
 const SWITCHING_PROTOCOLS_STATUS = 101;
 
 /** The first line of a response. */
@@ -20,7 +20,7 @@
 }
 
 /**
- * Parses the first line of a response. Throws a `ResponseSyntaxError` if it is none.
+ * Parses the first line of a response. Throws a `ResponseSyntaxError` if it is malformed.
  *
  * @example
  * ```ts
@@ -46,7 +46,7 @@
 
 /**
  * Parses a field of a head or of trailers. Throws a `ResponseSyntaxError` if it is
- * none. A value that goes on in the next line is none.
+ * malformed; a value that is folded into the next line counts as malformed.
  *
  * @example
  * ```ts
--- a/packages/common/src/http/response_syntax_guard.ts
+++ b/packages/common/src/http/response_syntax_guard.ts
@@ -1,6 +1,6 @@
 /**
- * Checks what connections bring before any parser reads it. Bytes that are no HTTP
- * response must not reach the parser, as it may take them for one.
+ * Checks the responses on connections before a parser reads them. Bytes that are no
+ * HTTP response must not reach the parser, as it may accept them.
  * @module
  */
 import { Buffer } from "node:buffer";
@@ -13,7 +13,7 @@
 
 /** The request that is sent on a connection. */
 export interface GuardedExchange extends ResponseExpectation {
-  /** Called at the first byte that is no part of an HTTP response; must close the connection. */
+  /** Called once, at the first fault; must close the connection. */
   readonly onFault: (error: ResponseSyntaxError) => void;
 }
 
--- a/packages/common/src/http/unframed_body_scanner.ts
+++ b/packages/common/src/http/unframed_body_scanner.ts
@@ -1,7 +1,7 @@
 /**
- * Checks bodies that end with their connection. A head whose `Transfer-Encoding` was
- * lost or misspelled frames no body, and the chunks would be read as the body, sizes
- * included; docs/incidents/malformed_heads.md says what tells such a body apart.
+ * Checks bodies that end with their connection. If `Transfer-Encoding` is lost or
+ * misspelled, the chunks of a body would be returned with their sizes;
+ * docs/incidents/malformed_responses.md says what distinguishes such a body.
  * @module
  */
 import type { Buffer } from "node:buffer";
@@ -17,7 +17,7 @@
 /** Checks one body, whose bytes arrive in pieces. */
 export class UnframedBodyScanner {
   readonly #isEventStream: boolean;
-  /** Undefined once the body can't be chunks any more. */
+  /** Undefined once the body is known to hold other bytes than chunks. */
   #chunks: ChunkScanner | undefined = new ChunkScanner();
   #hasBegun = false;
 
--- a/packages/common/src/testing/malformed_bodies.ts
+++ b/packages/common/src/testing/malformed_bodies.ts
@@ -1,5 +1,5 @@
 /**
- * Lists responses whose body has no certain end.
+ * Lists responses whose body is framed or encoded in a way that readers must reject.
  * @module
  */
 import {
@@ -42,7 +42,7 @@
 ];
 
 /**
- * Lists responses whose head leaves a doubt on where their body ends.
+ * Lists responses whose head frames the body ambiguously.
  *
  * @example
  * ```ts
@@ -89,8 +89,8 @@
 }
 
 /**
- * Lists responses in chunks that the head does not name, as the name of the field is
- * misspelled or the line is another one.
+ * Lists responses in chunks that the head does not declare, as the name of the field
+ * is misspelled.
  *
  * @example
  * ```ts
@@ -113,7 +113,7 @@
 }
 
 /**
- * Lists responses whose chunks or trailers are none.
+ * Lists responses whose chunks or trailers are malformed.
  *
  * @example
  * ```ts
@@ -139,7 +139,7 @@
   });
 }
 
-/** Lists chunks with one line end that is none. */
+/** Lists chunks with one malformed line end. */
 function listMalformedEnds(chunks: string): readonly string[] {
   return [...chunks.matchAll(/\r\n/g)].flatMap(({ index }) =>
     MALFORMED_LINE_ENDS.map((end) =>
