--- a/review/common-3/deployment.mjs
+++ b/review/common-3/deployment.mjs
@@ -5,6 +5,7 @@
  * @module
  */
 import { EndpointStandIn } from "@briarhill/fakes/platform/endpoint_stand_in";
+import { FaultProxy } from "@briarhill/fakes/platform/fault_proxy";
 import { callHost } from "@briarhill/fakes/platform/host_call";
 import { HostProcess } from "@briarhill/fakes/platform/host_process";
 import { createHostSettings } from "@briarhill/fakes/platform/host_settings_text";
@@ -30,7 +31,9 @@
 const STORE_IP = "127.0.0.1";
 /** Servers write to the store about this often, in milliseconds (`heartbeatMs` of the sheets). */
 const HEARTBEAT_MS = 1_200;
+const HEARTBEAT_CHECK_MS = 10;
 const PORTS = 80;
+const ZONES = ["a", "b"];
 /** The limits of the example sites. */
 const LIMITS = {
   maxHeaderBytes: 16_384,
@@ -113,22 +116,32 @@
 /** A store, servers and hosts on loopback addresses. */
 export class Deployment {
   store = new StoreStandIn();
+  /** The link of all hosts to the store. */
+  storeLink;
   engines = [];
   services = [];
   hosts = [];
   #options;
   #base = 0;
   #folder = "";
-  #timer;
+  #timers = [];
   #version = 2;
 
   /**
    * @param options - The numbers of hosts, services and engines; `engineGroups` is
-   * the number of services that the engines are split into, each with as many;
+   * the number of services that the engines are split into, each with as many, and
+   * `zones` the number of zones over which those of a service are spread; hosts are
+   * in the first one;
    * `changeSettings` changes the settings of a host.
    */
   constructor(options) {
-    this.#options = { engines: 2, services: 2, engineGroups: 1, ...options };
+    this.#options = {
+      engines: 2,
+      services: 2,
+      engineGroups: 1,
+      zones: 1,
+      ...options,
+    };
   }
 
   getIp(host) {
@@ -144,16 +157,16 @@
     const ips = Array.from({ length: hosts }, (_, host) => this.getIp(host));
     this.#base = await findPorts([STORE_IP, ...ips]);
     await this.store.start(STORE_IP, this.#base);
+    this.storeLink = new FaultProxy({
+      listen: { hostname: STORE_IP, port: this.#base + 9 },
+      target: { hostname: STORE_IP, port: this.#base },
+    });
+    await this.storeLink.start();
     this.#createServers();
     await Promise.all(this.servers.map((server) => server.start()));
     this.publishConfiguration();
     this.servers.forEach((server) => this.publishEntry(server));
-    this.#timer = setInterval(
-      () =>
-        this.servers.filter(({ crash }) => !crash.isDown)
-          .forEach((server) => this.publishEntry(server)),
-      HEARTBEAT_MS,
-    );
+    this.#startHeartbeats();
     this.#folder = await mkdtemp(join(tmpdir(), "briarhill-case-"));
     const { options, program } = readRuntimeOptions();
     this.hosts = ips.map((ip, host) =>
@@ -220,9 +233,10 @@
 
   /** Ends everything; may be called more than once. */
   async stop() {
-    clearInterval(this.#timer);
+    this.#timers.forEach((timer) => clearInterval(timer));
     this.hosts.forEach((host) => host.sendSignal("SIGKILL"));
     await Promise.all(this.hosts.map((host) => host.waitExit()));
+    this.storeLink?.close();
     this.store.close();
     this.servers.forEach((server) => {
       server.crash.stop();
@@ -233,15 +247,30 @@
     }
   }
 
+  /** Each server writes at times of its own. */
+  #startHeartbeats() {
+    this.#timers = this.servers.map((server, index) => {
+      let atMs = Date.now() + HEARTBEAT_MS * index / this.servers.length;
+      return setInterval(() => {
+        if (Date.now() >= atMs) {
+          atMs += HEARTBEAT_MS;
+          if (!server.crash.isDown) {
+            this.publishEntry(server);
+          }
+        }
+      }, HEARTBEAT_CHECK_MS);
+    });
+  }
+
   #createServers() {
-    const { engines, engineGroups, services } = this.#options;
-    const create = (id, port, service) =>
+    const { engines, engineGroups, services, zones } = this.#options;
+    const create = (id, port, service, zone = "a") =>
       new EndpointStandIn({
         id,
         service,
         hostname: STORE_IP,
         port,
-        zone: "a",
+        zone,
         models: service === "app" ? [] : ["m0"],
         events: 8,
         eventMs: 5,
@@ -249,7 +278,8 @@
       });
     this.engines = Array.from({ length: engines }, (_, index) => {
       const { service } = getGroupNames(index % engineGroups);
-      return create(`engine-${index}`, this.#base + 10 + index, service);
+      const zone = ZONES[Math.floor(index / engineGroups) % zones];
+      return create(`engine-${index}`, this.#base + 10 + index, service, zone);
     });
     this.services = Array.from(
       { length: services },
@@ -262,7 +292,7 @@
     const text = createHostSettings({
       name: `host-${host}`,
       ip,
-      store: `${STORE_IP}:${this.#base}`,
+      store: `${STORE_IP}:${this.#base + 9}`,
       port: this.#base + 1,
     });
     return changeSettings(text);
