--- a/review/common-3/deployment.mjs
+++ b/review/common-3/deployment.mjs
@@ -49,6 +49,10 @@
 for (const signal of ["SIGINT", "SIGTERM"]) {
   process.once(signal, () => process.exit(2));
 }
+process.once("uncaughtException", (error) => {
+  process.stderr.write(`could not run: ${error.stack}\n`);
+  process.exit(2);
+});
 
 /** Whether the disruption is left out. */
 export const isCalm = process.env.TROUBLE === "0";
